--- a/include/peridotfork/agent/agent.h
+++ b/include/peridotfork/agent/agent.h
@@ -18,7 +18,7 @@
 #include "peridotfork/lease/view_history.h"
 #include "peridotfork/membership/peer_table.h"
 #include "peridotfork/membership/route_table.h"
-#include "peridotfork/platform/platform_reader.h"
+#include "peridotfork/publication/platform_reader.h"
 #include "peridotfork/program/daemon.h"
 #include "peridotfork/replication/config_replica.h"
 #include "peridotfork/runtime/ranked_mutex.h"
--- /dev/null
+++ b/include/peridotfork/catalogue/catalogue.h
@@ -0,0 +1,127 @@
+#ifndef PERIDOTFORK_CATALOGUE_CATALOGUE_H_
+#define PERIDOTFORK_CATALOGUE_CATALOGUE_H_
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "peridotfork/core/ids.h"
+#include "peridotfork/core/units.h"
+
+namespace peridotfork {
+
+using RouteId = StrongValue<struct RouteIdTag, std::string>;
+
+enum class Repeatability {
+  // May run more than once.
+  kIdempotent,
+  // May run at most once for each request.
+  kAtMostOnce,
+};
+
+// One of the services that share the requests of a route.
+struct WeightedService {
+  ServiceId service;
+  double weight = 1;
+};
+
+// Fan-out of a route: every request goes to one target of each shard.
+struct GatherSpec {
+  std::vector<ServiceId> shards;
+  std::uint32_t top_records = 0;
+  // Least share of the shards that a successful answer contains.
+  double min_coverage = 1;
+};
+
+struct Route {
+  RouteId id;
+  std::string host;
+  std::string path_prefix;
+  Repeatability repeatability = Repeatability::kIdempotent;
+  // Longest time that a caller is kept waiting.
+  std::chrono::milliseconds timeout{0};
+  // Answers within this time meet the service level.
+  std::chrono::milliseconds objective{0};
+  // Targets of one service that may run one request.
+  std::uint32_t max_attempts = 1;
+  // 0 is the most urgent.
+  std::uint32_t rank = 0;
+  // Empty if `gather` is set.
+  std::vector<WeightedService> services;
+  std::optional<GatherSpec> gather;
+};
+
+struct ServiceSpec {
+  ServiceId id;
+  // Most connections that one target accepts from all callers together.
+  Connections max_connections{1};
+  // Requests for each second that a cold target bears.
+  Rate cold_rate{0};
+};
+
+// What callers of the ingress may send.
+struct IngressLimits {
+  Bytes max_header{16384};
+  Bytes max_body{262144};
+  std::chrono::milliseconds header_timeout{3000};
+  std::chrono::milliseconds idle_timeout{15000};
+};
+
+// One version of the operators' configuration. Immutable once published, so it
+// is thread-safe.
+class Catalogue : public boost::intrusive_ref_counter<Catalogue> {
+ public:
+  Catalogue(Revision version,
+            std::vector<Route> routes,
+            std::vector<ServiceSpec> services,
+            IngressLimits limits);
+
+  Revision version() const { return version_; }
+  const IngressLimits& limits() const { return limits_; }
+  const std::vector<Route>& routes() const { return routes_; }
+  const std::map<ServiceId, ServiceSpec>& services() const { return services_; }
+
+  // Route of `host` with the longest prefix of `path`; null if there is none.
+  const Route* FindRoute(std::string_view host, std::string_view path) const;
+
+ private:
+  const Revision version_;
+  const std::vector<Route> routes_;
+  std::map<ServiceId, ServiceSpec> services_;
+  const IngressLimits limits_;
+  // Position in `routes_` by host and prefix.
+  std::unordered_map<std::string, std::size_t> by_prefix_;
+};
+
+using CataloguePtr = boost::intrusive_ptr<const Catalogue>;
+
+// The service that takes request number `sequence` of a route. Over any run of
+// requests each service gets a share near its weight.
+const ServiceId& ChooseService(const Route& route, std::uint64_t sequence);
+
+// What a target says of itself.
+struct TargetEntry {
+  TargetId id;
+  ServiceId service;
+  Address address;
+  DataCentreId data_centre;
+  Slots slots{1};
+  bool draining = false;
+  // How long the target stays cold.
+  std::chrono::milliseconds cold_left{0};
+  // Start of the target in Unix milliseconds; tells its incarnations apart.
+  std::optional<std::uint64_t> started_ms;
+  // Number of its report; starts anew with each incarnation.
+  std::uint64_t sequence = 0;
+};
+
+}  // namespace peridotfork
+
+#endif  // PERIDOTFORK_CATALOGUE_CATALOGUE_H_
--- a/include/peridotfork/config/settings.h
+++ b/include/peridotfork/config/settings.h
@@ -57,8 +57,16 @@
   std::chrono::milliseconds read_timeout{0};
 };
 
+struct GatewaySettings : HostSettings {
+  Address ingress_address;
+  Address metrics_address;
+  std::string ready_path;
+  Address store_address;
+  std::uint32_t max_in_flight = 0;
+};
+
 // The keys of a program's settings in the order in which they are printed.
-// Defined for AgentSettings, DispatcherSettings and EntrySettings.
+// Defined for AgentSettings, DispatcherSettings, EntrySettings and GatewaySettings.
 template <typename Settings>
 const std::vector<KeySpec<Settings>>& SettingsTable();
 
--- /dev/null
+++ b/include/peridotfork/gateway/caller_session.h
@@ -0,0 +1,104 @@
+#ifndef PERIDOTFORK_GATEWAY_CALLER_SESSION_H_
+#define PERIDOTFORK_GATEWAY_CALLER_SESSION_H_
+
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/intrusive/list.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <cstddef>
+#include <functional>
+#include <optional>
+
+#include "peridotfork/catalogue/catalogue.h"
+#include "peridotfork/core/clock.h"
+#include "peridotfork/gateway/message_codec.h"
+#include "peridotfork/http/raw_message.h"
+
+namespace peridotfork {
+
+// Handle of a request that runs.
+class RequestRunner;
+using RequestRunnerPtr = boost::intrusive_ptr<RequestRunner>;
+
+// What the sessions ask of the gateway. Thread-safe.
+class RequestSink {
+ public:
+  using Callback = std::function<void(http::RawResponse)>;
+
+  virtual ~RequestSink() = default;
+
+  // Runs a whole request that a caller began to send at `start`; `done` is called
+  // once, from any thread. Null if the answer needs no run.
+  virtual RequestRunnerPtr Handle(http::RawRequest request, BootTime start, Callback done) = 0;
+
+  // An answer to a request that could not be read.
+  virtual http::RawResponse Refuse(unsigned status, const Error& error) = 0;
+
+  virtual IngressLimits limits() const = 0;
+  virtual const Clock& clock() const = 0;
+
+  // Whether a planned stop is under way: answers end their connections.
+  virtual bool draining() const = 0;
+};
+
+// One connection of a caller: one request at a time. Lives while it has an
+// operation under way.
+class CallerSession : public boost::intrusive_ref_counter<CallerSession>,
+                      public boost::intrusive::list_base_hook<> {
+ public:
+  using Tcp = boost::asio::ip::tcp;
+
+  // `on_end` is called when the session is destroyed.
+  CallerSession(Tcp::socket socket, RequestSink& sink, std::function<void(CallerSession&)> on_end);
+  ~CallerSession();
+
+  void Run();
+
+  // Closes the connection if no request is under way.
+  void CloseIfIdle();
+
+  bool busy() const { return busy_; }
+
+ private:
+  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using ErrorCode = boost::system::error_code;
+
+  boost::intrusive_ptr<CallerSession> Self() { return {this}; }
+  void WaitForRequest();
+  void OnFirstBytes(const ErrorCode& error, std::size_t count);
+  void ReadHeader();
+  void OnHeader(const ErrorCode& error);
+  void ReadBody();
+  void OnBody(const ErrorCode& error);
+  void OnReadError(const ErrorCode& error);
+  void HandOver();
+  void WatchForClose();
+  void OnReadable(const ErrorCode& error);
+  void Write(http::RawResponse response, bool keep_alive);
+  void OnWritten(const ErrorCode& error);
+  void Close();
+
+  boost::beast::tcp_stream stream_;
+  RequestSink& sink_;
+  const std::function<void(CallerSession&)> on_end_;
+  const BootTime accepted_;
+  std::atomic<bool> busy_ = false;
+
+  // Used on the stream's strand only.
+  boost::beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  std::optional<http::RawResponse> response_;
+  RequestRunnerPtr runner_;
+  BootTime request_start_;
+  bool first_request_ = true;
+  bool keep_alive_ = false;
+  bool closed_ = false;
+};
+
+}  // namespace peridotfork
+
+#endif  // PERIDOTFORK_GATEWAY_CALLER_SESSION_H_
--- /dev/null
+++ b/include/peridotfork/gateway/gateway.h
@@ -0,0 +1,98 @@
+#ifndef PERIDOTFORK_GATEWAY_GATEWAY_H_
+#define PERIDOTFORK_GATEWAY_GATEWAY_H_
+
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/intrusive/list.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+
+#include "peridotfork/balance/target_table.h"
+#include "peridotfork/catalogue/catalogue.h"
+#include "peridotfork/config/settings.h"
+#include "peridotfork/discovery/store_follower.h"
+#include "peridotfork/gateway/caller_session.h"
+#include "peridotfork/gateway/message_codec.h"
+#include "peridotfork/gateway/request_log.h"
+#include "peridotfork/gateway/request_runner.h"
+#include "peridotfork/http/router.h"
+#include "peridotfork/http/server.h"
+#include "peridotfork/metrics/metrics.h"
+#include "peridotfork/program/daemon.h"
+#include "peridotfork/upstream/connection_pool.h"
+
+namespace peridotfork {
+
+// The outside of one gateway: its store and the form of its messages.
+struct GatewayEdge {
+  std::unique_ptr<MetadataStore> store;
+  std::unique_ptr<MessageCodec> codec;
+};
+
+// Takes requests from callers and runs each on the targets that the published
+// configuration names. Keeps nothing beyond the process. Thread-safe.
+class Gateway final : public Service, private RequestSink, private http::Handler {
+ public:
+  Gateway(const DaemonContext& context, const GatewaySettings& settings, GatewayEdge edge);
+  ~Gateway() override;
+
+  Result<void> Start() override;
+  void BeginDrain() override;
+  bool drained() const override;
+  void Close() override;
+
+  // Address on which callers are accepted.
+  Address ingress_address() const;
+  Address status_address() const { return status_server_.address(); }
+
+ private:
+  using Tcp = boost::asio::ip::tcp;
+
+  // RequestSink:
+  RequestRunnerPtr Handle(http::RawRequest request, BootTime start, Callback done) override;
+  http::RawResponse Refuse(unsigned status, const Error& error) override;
+  IngressLimits limits() const override;
+  const Clock& clock() const override { return context_.clock; }
+  bool draining() const override { return draining_; }
+
+  // http::Handler, for the readiness check and the metrics.
+  void Handle(http::Request request, http::Responder respond) override;
+  void AnswerReady(const http::Request& request, const http::Responder& respond);
+  void AnswerMetrics(const http::Request& request, const http::Responder& respond);
+
+  Result<void> Listen();
+  void Accept();
+  void OnDirectory(const FleetDirectory& directory);
+  std::vector<ServiceId> ServicesOf(const Route& route);
+  void CloseIdleSessions();
+  bool ready() const;
+
+  const DaemonContext context_;
+  const GatewaySettings settings_;
+  const GatewayEdge edge_;
+  MetricRegistry metrics_;
+  RequestLog request_log_;
+  TargetTable targets_;
+  ConnectionPool connections_;
+  GatewayContext runner_context_;
+  StoreFollower follower_;
+  http::Server status_server_;
+  http::Server metrics_server_;
+  Tcp::acceptor acceptor_;
+  std::atomic<bool> draining_ = false;
+  std::atomic<bool> accepting_ = false;
+  std::atomic<std::size_t> in_flight_ = 0;
+  std::atomic<std::uint64_t> split_sequence_ = 0;
+
+  mutable RankedMutex catalogue_mutex_{LockRank::kView};
+  CataloguePtr catalogue_;
+
+  mutable RankedMutex sessions_mutex_{LockRank::kQueries};
+  boost::intrusive::list<CallerSession, boost::intrusive::constant_time_size<true>> sessions_;
+};
+
+}  // namespace peridotfork
+
+#endif  // PERIDOTFORK_GATEWAY_GATEWAY_H_
--- a/include/peridotfork/http/client.h
+++ b/include/peridotfork/http/client.h
@@ -2,6 +2,7 @@
 #define PERIDOTFORK_HTTP_CLIENT_H_
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -24,6 +25,10 @@
 // Parses "127.0.0.1:7001". Host names are refused.
 Result<boost::asio::ip::tcp::endpoint> ParseEndpoint(const Address& address);
 
+// Lets the system end a connection whose peer stays silent: after some seconds
+// without an answer to probes or to data.
+void EnableDeadPeerDetection(boost::asio::ip::tcp::socket& socket);
+
 // How far a request got when it failed.
 enum class SendState { kNotSent, kMaybeSent };
 
--- /dev/null
+++ b/include/peridotfork/http/raw_message.h
@@ -0,0 +1,15 @@
+#ifndef PERIDOTFORK_HTTP_RAW_MESSAGE_H_
+#define PERIDOTFORK_HTTP_RAW_MESSAGE_H_
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace peridotfork::http {
+
+// Whole messages with all their fields, as a proxy needs them.
+using RawRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using RawResponse = boost::beast::http::response<boost::beast::http::string_body>;
+
+}  // namespace peridotfork::http
+
+#endif  // PERIDOTFORK_HTTP_RAW_MESSAGE_H_
--- /dev/null
+++ b/include/peridotfork/platform/message_codec.h
@@ -0,0 +1,29 @@
+#ifndef PERIDOTFORK_PLATFORM_MESSAGE_CODEC_H_
+#define PERIDOTFORK_PLATFORM_MESSAGE_CODEC_H_
+
+#include "peridotfork/gateway/message_codec.h"
+
+namespace peridotfork::platform {
+
+// The platform's form of requests and answers, between callers and the gateway
+// and between the gateway and targets.
+class PlatformCodec final : public MessageCodec {
+ public:
+  IngressRequest DecodeRequest(const http::RawRequest& request) const override;
+  http::RawRequest Forwarded(const http::RawRequest& request) const override;
+  void Address(http::RawRequest& request,
+               const TargetId& target,
+               std::chrono::milliseconds time_left) const override;
+  bool Matches(const http::RawResponse& response, const RequestId& id) const override;
+  UpstreamAnswer DecodeAnswer(http::RawResponse response) const override;
+  http::RawResponse Encode(UpstreamAnswer answer) const override;
+  http::RawResponse Encode(const MergedAnswer& answer) const override;
+  http::RawResponse EncodeFault(
+      unsigned status,
+      const Error& error,
+      std::optional<std::chrono::milliseconds> retry_after) const override;
+};
+
+}  // namespace peridotfork::platform
+
+#endif  // PERIDOTFORK_PLATFORM_MESSAGE_CODEC_H_
--- a/include/peridotfork/platform/host_list.h
+++ b/include/peridotfork/publication/host_list.h
@@ -1,5 +1,5 @@
-#ifndef PERIDOTFORK_PLATFORM_HOST_LIST_H_
-#define PERIDOTFORK_PLATFORM_HOST_LIST_H_
+#ifndef PERIDOTFORK_PUBLICATION_HOST_LIST_H_
+#define PERIDOTFORK_PUBLICATION_HOST_LIST_H_
 
 #include <string_view>
 
@@ -14,4 +14,4 @@
 
 }  // namespace peridotfork
 
-#endif  // PERIDOTFORK_PLATFORM_HOST_LIST_H_
+#endif  // PERIDOTFORK_PUBLICATION_HOST_LIST_H_
--- a/include/peridotfork/routing/latency_tracker.h
+++ b/include/peridotfork/routing/latency_tracker.h
@@ -24,6 +24,9 @@
   // median; leaving it out makes a slow target look fast.
   void Observe(const TargetId& target, const GroupId& group, std::chrono::nanoseconds latency);
 
+  // The same for a latency that is not ascribed to a target.
+  void ObserveGroup(const GroupId& group, std::chrono::nanoseconds latency);
+
   // None until enough latencies have been observed.
   std::optional<LatencyQuantiles> OfTarget(const TargetId& target) const;
   std::optional<LatencyQuantiles> OfGroup(const GroupId& group) const;
--- a/include/peridotfork/runtime/lock_rank.h
+++ b/include/peridotfork/runtime/lock_rank.h
@@ -10,10 +10,15 @@
   kView = 20,
   kLeases = 30,
   kRoutes = 40,
+  // State of one request of the gateway.
+  kRequests = 45,
   kTargets = 50,
+  // Kept connections to one target.
+  kConnections = 55,
   kQueries = 60,
   kLedger = 70,
   kTransport = 75,
+  kMetricNames = 78,
   kMetrics = 80,
   kLog = 90,
 };
--- a/src/agent/agent.cc
+++ b/src/agent/agent.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "peridotfork/membership/placement.h"
-#include "peridotfork/platform/host_list.h"
+#include "peridotfork/publication/host_list.h"
 
 namespace peridotfork {
 namespace {
--- /dev/null
+++ b/src/balance/target_score.cc
@@ -0,0 +1,156 @@
+#include "peridotfork/balance/target_score.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace peridotfork {
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+// Weight of the newest answer in the smoothed figures.
+constexpr double kSmoothing = 0.25;
+constexpr double kFailureSmoothing = 0.2;
+// Losses in a row that make a target suspect; a failed connect counts twice.
+constexpr std::uint32_t kLossesToSuspect = 2;
+// How long a suspect is left alone; doubled for each further loss.
+constexpr std::chrono::milliseconds kFirstSuspicion{250};
+constexpr std::uint32_t kMaxSuspicionDoublings = 3;
+// An entry with an address that another target took over is left alone until it
+// is removed or replaced.
+constexpr std::chrono::seconds kMisdirectedPause{30};
+// A cold target that bears less than one request a second for each host gets
+// one in this time: the platform's tolerance covers five in a second over all
+// hosts.
+constexpr std::chrono::milliseconds kColdInterval{1100};
+// Hosts among which the rate of a cold target is divided.
+constexpr double kColdSharers = 8;
+
+double Decay(BootTime since, BootTime now, std::chrono::nanoseconds half_life) {
+  return std::exp2(-std::max(0.0, Seconds(now - since) / Seconds(half_life)));
+}
+
+// Requests on the target by anyone, as far as this process can tell.
+double Backlog(const TargetCondition& condition, BootTime now, const ScoreOptions& options) {
+  const auto own = static_cast<double>(condition.open_attempts.size());
+  if (!condition.load) {
+    return own;
+  }
+  const double reported = condition.load->running + condition.load->waiting;
+  return std::max(own, reported * Decay(condition.load_at, now, options.load_half_life) + own / 2);
+}
+
+void Suspect(TargetCondition& condition, BootTime now) {
+  const std::uint32_t doublings =
+      std::min(condition.losses_in_row - kLossesToSuspect, kMaxSuspicionDoublings);
+  condition.suspect_until = now + kFirstSuspicion * (1 << doublings);
+}
+
+void AddLosses(TargetCondition& condition, std::uint32_t count, BootTime now) {
+  condition.losses_in_row += count;
+  if (condition.losses_in_row >= kLossesToSuspect) {
+    Suspect(condition, now);
+  }
+}
+
+void ObserveTime(TargetCondition& condition, const Attempt& attempt, BootTime now) {
+  if (attempt.usual.count() <= 0) {
+    return;
+  }
+  const double ratio = Seconds(now - attempt.sent) / Seconds(attempt.usual);
+  condition.slowness += kSmoothing * (std::min(ratio, 20.0) - condition.slowness);
+  condition.slowness_at = now;
+}
+
+}  // namespace
+
+double ScoreTarget(const TargetCondition& condition,
+                   const DataCentreId& self,
+                   std::chrono::nanoseconds usual,
+                   BootTime now,
+                   const ScoreOptions& options) {
+  const double fresh = Decay(condition.slowness_at, now, options.slowness_half_life);
+  const double slowness = 1 + (condition.slowness - 1) * fresh;
+  const double slots = std::max(1U, condition.entry.slots.value());
+  const double backlog = Backlog(condition, now, options);
+  double score = std::max(0.3, slowness) * (1 + std::max(0.0, backlog + 1 - slots) / slots +
+                                            0.3 * backlog / slots);
+  score += condition.failure_rate * fresh * options.failure_cost;
+  if (condition.entry.data_centre != self) {
+    score += options.remote_cost;
+  }
+  if (!condition.open_attempts.empty()) {
+    const std::chrono::nanoseconds wait = now - condition.open_attempts.front().sent;
+    const auto limit = std::max<std::chrono::nanoseconds>(
+        options.min_stall,
+        std::chrono::duration_cast<std::chrono::nanoseconds>(usual * options.stall_factor));
+    if (wait > limit) {
+      score += Seconds(wait) / Seconds(limit) * options.stall_factor;
+    }
+  }
+  return score;
+}
+
+bool MayTakeWork(const TargetCondition& condition, BootTime now) {
+  if (condition.closed) {
+    return false;
+  }
+  if (condition.losses_in_row >= kLossesToSuspect) {
+    // One probe at a time once the suspicion is over.
+    return now >= condition.suspect_until && condition.open_attempts.empty();
+  }
+  if (now < condition.cold_until) {
+    const double rate = condition.cold_rate.value() / kColdSharers;
+    const auto interval = rate > 0
+                              ? std::min<std::chrono::nanoseconds>(
+                                    kColdInterval, std::chrono::duration_cast<std::chrono::nanoseconds>(
+                                                       Seconds(1 / rate)))
+                              : std::chrono::nanoseconds(kColdInterval);
+    return now - condition.last_cold_send >= interval;
+  }
+  return true;
+}
+
+void RecordEnd(TargetCondition& condition,
+               const Attempt& attempt,
+               AttemptEnd end,
+               BootTime now,
+               const ScoreOptions& options) {
+  const auto fail = [&](double failure) {
+    condition.failure_rate *= Decay(condition.slowness_at, now, options.slowness_half_life);
+    condition.failure_rate += kFailureSmoothing * (failure - condition.failure_rate);
+    condition.slowness_at = now;
+  };
+  switch (end) {
+    case AttemptEnd::kAnswered:
+      fail(0);
+      condition.losses_in_row = 0;
+      ObserveTime(condition, attempt, now);
+      break;
+    case AttemptEnd::kFailed:
+    case AttemptEnd::kShed:
+      fail(1);
+      condition.losses_in_row = 0;
+      break;
+    case AttemptEnd::kMisdirected:
+      condition.losses_in_row = kLossesToSuspect;
+      condition.suspect_until = now + kMisdirectedPause;
+      break;
+    case AttemptEnd::kNotConnected:
+      fail(1);
+      AddLosses(condition, 2, now);
+      break;
+    case AttemptEnd::kLost:
+      fail(1);
+      AddLosses(condition, 1, now);
+      break;
+    case AttemptEnd::kTimedOut:
+      ObserveTime(condition, attempt, now);
+      AddLosses(condition, 1, now);
+      break;
+    case AttemptEnd::kCancelled:
+      break;
+  }
+}
+
+}  // namespace peridotfork
--- /dev/null
+++ b/src/balance/target_table.cc
@@ -0,0 +1,191 @@
+#include "peridotfork/balance/target_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotfork {
+namespace {
+
+// A hedge is sent after this multiple of the usual time and a constant for the
+// way between data centres.
+constexpr double kHedgeFactor = 2.2;
+constexpr std::chrono::milliseconds kHedgeSlack{3};
+// Assumed usual time of a route without observations, as a share of its
+// objective.
+constexpr double kUnknownTimeShare = 0.15;
+
+std::chrono::nanoseconds Scale(std::chrono::nanoseconds time, double factor) {
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(time * factor);
+}
+
+GroupId RouteKey(const Route& route) {
+  return {ServiceId(route.id.value()), GroupIndex(0)};
+}
+
+bool IsSameIncarnation(const TargetEntry& left, const TargetEntry& right) {
+  return left.address == right.address && left.service == right.service &&
+         left.started_ms == right.started_ms;
+}
+
+bool WasTried(std::span<const AttemptPtr> tried, const Target& target) {
+  return std::ranges::any_of(
+      tried, [&](const AttemptPtr& attempt) { return attempt->target.get() == &target; });
+}
+
+}  // namespace
+
+TargetTable::TargetTable(const Clock& clock, DataCentreId self, BalanceOptions options)
+    : clock_(clock), self_(std::move(self)), options_(options), route_times_(clock) {}
+
+void TargetTable::Update(const std::vector<TargetEntry>& entries,
+                         const std::set<DataCentreId>& drained,
+                         const Catalogue* catalogue) {
+  const RankedLock lock(mutex_);
+  std::map<TargetId, TargetPtr> kept;
+  for (auto& [id, service] : services_) {
+    service.targets.clear();
+  }
+  for (const TargetEntry& entry : entries) {
+    const auto known = targets_.find(entry.id);
+    TargetPtr target;
+    if (known != targets_.end() && IsSameIncarnation(known->second->condition.entry, entry)) {
+      target = known->second;
+    } else {
+      target.reset(new Target(entry));
+    }
+    TargetCondition& condition = target->condition;
+    Open(condition, entry, catalogue);
+    condition.closed = entry.draining || drained.contains(entry.data_centre);
+    Service(entry.service).targets.push_back(target);
+    kept.emplace(entry.id, std::move(target));
+  }
+  targets_ = std::move(kept);
+}
+
+AttemptPtr TargetTable::Pick(const PickRequest& request) {
+  const RankedLock lock(mutex_);
+  const BootTime now = clock_.now();
+  ServiceTargets& service = Service(request.service);
+  if (request.purpose == AttemptPurpose::kFirst) {
+    service.extra.OnSubRequests(1);
+  }
+  Target* const best = Best(service, request, now);
+  if (best == nullptr) {
+    return nullptr;
+  }
+  const bool hedge_allowed = service.extra.tokens() >= 1 + options_.hedge_reserve;
+  if ((request.purpose == AttemptPurpose::kHedge && !hedge_allowed) ||
+      (request.purpose != AttemptPurpose::kFirst && !service.extra.TryTake())) {
+    return nullptr;
+  }
+  AttemptPtr attempt(new Attempt(TargetPtr(best), now));
+  attempt->usual = UsualTime(*request.route);
+  if (now < best->condition.cold_until) {
+    best->condition.last_cold_send = now;
+  }
+  best->condition.open_attempts.push_back(*attempt);
+  return attempt;
+}
+
+void TargetTable::Finish(Attempt& attempt,
+                         AttemptEnd end,
+                         const std::optional<LoadReport>& load) {
+  const RankedLock lock(mutex_);
+  if (!std::exchange(attempt.open, false)) {
+    return;
+  }
+  TargetCondition& condition = attempt.target->condition;
+  condition.open_attempts.erase(condition.open_attempts.iterator_to(attempt));
+  const BootTime now = clock_.now();
+  if (load) {
+    condition.load = load;
+    condition.load_at = now;
+  }
+  RecordEnd(condition, attempt, end, now, options_.score);
+}
+
+void TargetTable::ObserveRoute(const Route& route, std::chrono::nanoseconds time) {
+  const RankedLock lock(mutex_);
+  route_times_.ObserveGroup(RouteKey(route), time);
+}
+
+std::chrono::nanoseconds TargetTable::HedgeDelay(const Route& route) const {
+  const RankedLock lock(mutex_);
+  const std::chrono::nanoseconds usual = Scale(UsualTime(route), kHedgeFactor) + kHedgeSlack;
+  const std::chrono::nanoseconds latest = Scale(route.objective, options_.hedge_objective_share);
+  return std::max(options_.min_hedge_delay, std::min(usual, latest));
+}
+
+bool TargetTable::HasTargets(const ServiceId& service) const {
+  const RankedLock lock(mutex_);
+  const auto found = services_.find(service);
+  return found != services_.end() &&
+         std::ranges::any_of(found->second.targets, [](const TargetPtr& target) {
+           return !target->condition.closed;
+         });
+}
+
+std::size_t TargetTable::ConnectionShare(const Target& target) const {
+  const RankedLock lock(mutex_);
+  return target.condition.connection_share.value();
+}
+
+std::size_t TargetTable::size() const {
+  const RankedLock lock(mutex_);
+  return targets_.size();
+}
+
+TargetTable::ServiceTargets& TargetTable::Service(const ServiceId& id) {
+  const auto found = services_.find(id);
+  if (found != services_.end()) {
+    return found->second;
+  }
+  return services_.emplace(id, ServiceTargets{{}, routing::Budget(options_.extra)}).first->second;
+}
+
+void TargetTable::Open(TargetCondition& condition,
+                       const TargetEntry& entry,
+                       const Catalogue* catalogue) {
+  const bool repeated = condition.entry.sequence == entry.sequence && condition.cold_until > BootTime();
+  condition.entry = entry;
+  if (entry.cold_left.count() > 0 && !repeated) {
+    condition.cold_until = clock_.now() + entry.cold_left;
+  }
+  if (catalogue == nullptr) {
+    return;
+  }
+  const auto service = catalogue->services().find(entry.service);
+  if (service != catalogue->services().end()) {
+    condition.cold_rate = service->second.cold_rate;
+    condition.connection_share = Connections(std::max(
+        2U, service->second.max_connections.value() / options_.connection_sharers));
+  }
+}
+
+std::chrono::nanoseconds TargetTable::UsualTime(const Route& route) const {
+  const auto estimate = route_times_.OfGroup(RouteKey(route));
+  return estimate ? estimate->median : Scale(route.objective, kUnknownTimeShare);
+}
+
+Target* TargetTable::Best(const ServiceTargets& service,
+                          const PickRequest& request,
+                          BootTime now) const {
+  const std::chrono::nanoseconds usual = UsualTime(*request.route);
+  Target* best = nullptr;
+  double best_score = 0;
+  for (const TargetPtr& target : service.targets) {
+    const TargetCondition& condition = target->condition;
+    if (!MayTakeWork(condition, now) || WasTried(request.tried, *target) ||
+        condition.open_attempts.size() >= condition.connection_share.value()) {
+      continue;
+    }
+    const double score = ScoreTarget(condition, self_, usual, now, options_.score);
+    if (best == nullptr || score < best_score) {
+      best = target.get();
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+}  // namespace peridotfork
--- /dev/null
+++ b/src/catalogue/catalogue.cc
@@ -0,0 +1,63 @@
+#include "peridotfork/catalogue/catalogue.h"
+
+#include <cmath>
+#include <utility>
+
+namespace peridotfork {
+namespace {
+
+std::string PrefixKey(std::string_view host, std::string_view prefix) {
+  std::string key;
+  key.reserve(host.size() + 1 + prefix.size());
+  key.append(host).append(1, ' ').append(prefix);
+  return key;
+}
+
+}  // namespace
+
+Catalogue::Catalogue(Revision version,
+                     std::vector<Route> routes,
+                     std::vector<ServiceSpec> services,
+                     IngressLimits limits)
+    : version_(version), routes_(std::move(routes)), limits_(limits) {
+  for (ServiceSpec& service : services) {
+    ServiceId id = service.id;
+    services_.emplace(std::move(id), std::move(service));
+  }
+  for (std::size_t i = 0; i < routes_.size(); ++i) {
+    by_prefix_.emplace(PrefixKey(routes_[i].host, routes_[i].path_prefix), i);
+  }
+}
+
+const Route* Catalogue::FindRoute(std::string_view host, std::string_view path) const {
+  // A prefix ends with a slash, so only those ends have to be looked up.
+  std::size_t end = path.rfind('/');
+  while (end != std::string_view::npos) {
+    const auto found = by_prefix_.find(PrefixKey(host, path.substr(0, end + 1)));
+    if (found != by_prefix_.end()) {
+      return &routes_[found->second];
+    }
+    end = end == 0 ? std::string_view::npos : path.rfind('/', end - 1);
+  }
+  return nullptr;
+}
+
+const ServiceId& ChooseService(const Route& route, std::uint64_t sequence) {
+  double total = 0;
+  for (const WeightedService& service : route.services) {
+    total += service.weight;
+  }
+  // Multiples of the golden ratio spread evenly over any run of the sequence.
+  constexpr double kGoldenRatio = 0.6180339887498949;
+  double whole = 0;
+  double position = std::modf(static_cast<double>(sequence) * kGoldenRatio, &whole) * total;
+  for (const WeightedService& service : route.services) {
+    position -= service.weight;
+    if (position < 0) {
+      return service.service;
+    }
+  }
+  return route.services.back().service;
+}
+
+}  // namespace peridotfork
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -100,6 +100,27 @@
                  });
 }
 
+std::vector<KeySpec<GatewaySettings>> GatewayTable() {
+  using S = GatewaySettings;
+  return Join<S>(
+      HostTable<S>(),
+      {
+          MakeKey<S, &S::ingress_address>("ingress", "address", nullptr,
+                                          "Address on which callers are accepted."),
+          MakeKey<S, &S::max_in_flight>("ingress", "max_in_flight", "600",
+                                        "Requests that run at the same time; further ones are "
+                                        "refused.",
+                                        {1, 1'000'000}),
+          MakeKey<S, &S::ready_path>("http", "ready_path", "/readyz",
+                                     "Path of the readiness check."),
+          MakeKey<S, &S::metrics_address>("metrics", "address", nullptr,
+                                          "Address of the metrics, at the path /metrics."),
+          MakeKey<S, &S::store_address>("store", "address", nullptr,
+                                        "Address of the store that publishes the configuration "
+                                        "and the targets."),
+      });
+}
+
 template <typename Settings>
 std::vector<std::string> SectionNames() {
   std::vector<std::string> names;
@@ -188,6 +209,12 @@
   return table;
 }
 
+template <>
+const std::vector<KeySpec<GatewaySettings>>& SettingsTable<GatewaySettings>() {
+  static const auto table = GatewayTable();
+  return table;
+}
+
 template <typename Settings>
 SettingsResult<Settings> ParseSettings(std::string_view text) {
   Settings settings;
@@ -232,8 +259,10 @@
 template SettingsResult<AgentSettings> ParseSettings(std::string_view text);
 template SettingsResult<DispatcherSettings> ParseSettings(std::string_view text);
 template SettingsResult<EntrySettings> ParseSettings(std::string_view text);
+template SettingsResult<GatewaySettings> ParseSettings(std::string_view text);
 template std::string ToIni(const AgentSettings& settings);
 template std::string ToIni(const DispatcherSettings& settings);
 template std::string ToIni(const EntrySettings& settings);
+template std::string ToIni(const GatewaySettings& settings);
 
 }  // namespace peridotfork
--- /dev/null
+++ b/src/discovery/fleet_directory.cc
@@ -0,0 +1,138 @@
+#include "peridotfork/discovery/fleet_directory.h"
+
+#include <utility>
+
+namespace peridotfork {
+namespace {
+
+// Whether `entry` is an older report than `known` of the same target.
+bool IsOlder(const TargetEntry& entry, const TargetEntry& known) {
+  if (entry.started_ms != known.started_ms) {
+    return entry.started_ms && known.started_ms && *entry.started_ms < *known.started_ms;
+  }
+  return entry.sequence < known.sequence;
+}
+
+}  // namespace
+
+FleetDirectory::FleetDirectory(const Clock& clock) : clock_(clock) {}
+
+void FleetDirectory::Apply(const std::vector<StoreChange>& changes) {
+  std::vector<TargetId> removed;
+  for (const StoreChange& change : changes) {
+    if (const auto* removal = std::get_if<TargetRemoved>(&change)) {
+      removed.push_back(removal->id);
+    }
+  }
+  if (IsMassRemoval(removed)) {
+    OnStoreReturned();
+  }
+  for (const StoreChange& change : changes) {
+    std::visit([this](const auto& kind) { On(kind); }, change);
+  }
+}
+
+void FleetDirectory::Replace(const std::vector<StoreChange>& changes) {
+  std::set<TargetId> listed;
+  std::set<DataCentreId> drained;
+  for (const StoreChange& change : changes) {
+    if (const auto* reported = std::get_if<TargetReported>(&change)) {
+      listed.insert(reported->entry.id);
+    } else if (const auto* drain = std::get_if<DataCentreDrain>(&change)) {
+      drained.insert(drain->data_centre);
+    }
+  }
+  std::vector<TargetId> missing;
+  for (const auto& [id, entry] : targets_) {
+    if (!listed.contains(id)) {
+      missing.push_back(id);
+    }
+  }
+  if (IsMassRemoval(missing)) {
+    OnStoreReturned();
+  }
+  for (const TargetId& id : missing) {
+    Remove(id);
+  }
+  drained_ = std::move(drained);
+  Apply(changes);
+}
+
+void FleetDirectory::OnStoreReturned() {
+  grace_end_ = clock_.now() + kLapseGrace;
+}
+
+bool FleetDirectory::DropLapsed() {
+  if (!grace_end_ || clock_.now() < *grace_end_) {
+    return false;
+  }
+  grace_end_.reset();
+  for (const TargetId& id : lapsed_) {
+    targets_.erase(id);
+  }
+  return !std::exchange(lapsed_, {}).empty();
+}
+
+std::optional<BootTime> FleetDirectory::next_lapse() const {
+  return lapsed_.empty() ? std::nullopt : grace_end_;
+}
+
+std::vector<TargetEntry> FleetDirectory::targets() const {
+  std::vector<TargetEntry> targets;
+  targets.reserve(targets_.size());
+  for (const auto& [id, entry] : targets_) {
+    targets.push_back(entry);
+  }
+  return targets;
+}
+
+void FleetDirectory::On(const CataloguePublished& change) {
+  if (catalogue_ == nullptr || change.catalogue->version() > catalogue_->version()) {
+    catalogue_ = change.catalogue;
+  }
+}
+
+void FleetDirectory::On(const TargetReported& change) {
+  const auto known = targets_.find(change.entry.id);
+  if (known == targets_.end()) {
+    targets_.emplace(change.entry.id, change.entry);
+  } else if (!IsOlder(change.entry, known->second)) {
+    known->second = change.entry;
+  }
+  lapsed_.erase(change.entry.id);
+}
+
+void FleetDirectory::On(const TargetRemoved& change) {
+  Remove(change.id);
+}
+
+void FleetDirectory::On(const DataCentreDrain& change) {
+  if (change.drained) {
+    drained_.insert(change.data_centre);
+  } else {
+    drained_.erase(change.data_centre);
+  }
+}
+
+void FleetDirectory::Remove(const TargetId& id) {
+  const bool in_grace = grace_end_ && clock_.now() < *grace_end_;
+  if (in_grace && targets_.contains(id)) {
+    lapsed_.insert(id);
+  } else {
+    targets_.erase(id);
+    lapsed_.erase(id);
+  }
+}
+
+bool FleetDirectory::IsMassRemoval(const std::vector<TargetId>& removed) const {
+  std::size_t unannounced = 0;
+  for (const TargetId& id : removed) {
+    const auto known = targets_.find(id);
+    unannounced += known != targets_.end() && !known->second.draining ? 1 : 0;
+  }
+  return unannounced >= kMassRemoval &&
+         static_cast<double>(unannounced) >=
+             kMassRemovalShare * static_cast<double>(targets_.size());
+}
+
+}  // namespace peridotfork
--- /dev/null
+++ b/src/discovery/store_follower.cc
@@ -0,0 +1,195 @@
+#include "peridotfork/discovery/store_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotfork {
+namespace {
+
+// A shorter failure is a lost call and no outage: no entry lapses meanwhile.
+constexpr std::chrono::milliseconds kOutage{500};
+constexpr std::uint32_t kMaxDoublings = 5;
+
+}  // namespace
+
+StoreFollower::StoreFollower(WorkerPool& pool,
+                             const Clock& clock,
+                             MetadataStore& store,
+                             Logger& log,
+                             Listener listener,
+                             FollowerOptions options)
+    : pool_(pool),
+      clock_(clock),
+      store_(store),
+      log_(log),
+      listener_(std::move(listener)),
+      options_(options),
+      directory_(clock) {}
+
+void StoreFollower::Start() {
+  pool_.Post([this] { ListPage(); });
+}
+
+void StoreFollower::ListPage() {
+  if (stopped_) {
+    return;
+  }
+  ++calls_;
+  std::string page;
+  {
+    const RankedLock lock(mutex_);
+    page = next_page_;
+  }
+  store_.List(page, [this](Result<StoreReply> reply) { OnPage(std::move(reply)); });
+}
+
+void StoreFollower::OnPage(Result<StoreReply> result) {
+  if (!result.has_value()) {
+    OnFailure(result.error());
+    return;
+  }
+  StoreReply& reply = result.value();
+  LogFaults(reply);
+  bool complete = false;
+  {
+    const RankedLock lock(mutex_);
+    OnAnswered();
+    // Pages are no snapshot: the watch goes on from the first one, and repeats
+    // what changed meanwhile.
+    listed_at_ = listed_at_.value_or(reply.revision);
+    std::ranges::move(reply.changes, std::back_inserter(listed_));
+    next_page_ = reply.next_page;
+    complete = next_page_.empty();
+    if (complete) {
+      directory_.Replace(listed_);
+      revision_ = std::exchange(listed_at_, std::nullopt);
+      log_.Info("The store was listed.", {{"changes", std::to_string(listed_.size())},
+                                          {"revision", std::to_string(revision_->value())}});
+      listed_.clear();
+      Publish();
+    }
+  }
+  if (complete) {
+    WatchOn();
+  } else {
+    ListPage();
+  }
+}
+
+void StoreFollower::WatchOn() {
+  if (stopped_) {
+    return;
+  }
+  ++calls_;
+  StoreRevision after;
+  {
+    const RankedLock lock(mutex_);
+    after = revision_.value_or(StoreRevision(0));
+  }
+  store_.Watch(after, options_.watch,
+               [this](Result<StoreReply> reply) { OnChanges(std::move(reply)); });
+}
+
+void StoreFollower::OnChanges(Result<StoreReply> result) {
+  if (!result.has_value()) {
+    OnFailure(result.error());
+    return;
+  }
+  const StoreReply& reply = result.value();
+  LogFaults(reply);
+  {
+    const RankedLock lock(mutex_);
+    OnAnswered();
+    revision_ = std::max(reply.revision, revision_.value_or(StoreRevision(0)));
+    if (!reply.changes.empty()) {
+      const CataloguePtr before = directory_.catalogue();
+      directory_.Apply(reply.changes);
+      const CataloguePtr& after = directory_.catalogue();
+      if (after != before) {
+        log_.Info("A configuration is in force.",
+                  {{"version", std::to_string(after->version().value())},
+                   {"revision", std::to_string(reply.revision.value())}});
+      }
+      Publish();
+    }
+  }
+  if (reply.changes.empty()) {
+    WatchOn();
+  } else {
+    pool_.After(options_.settle, [this] { WatchOn(); });
+  }
+}
+
+void StoreFollower::OnAnswered() {
+  failures_in_row_ = 0;
+  if (!failing_since_) {
+    return;
+  }
+  const auto away = clock_.now() - *std::exchange(failing_since_, std::nullopt);
+  const auto away_ms = std::chrono::duration_cast<std::chrono::milliseconds>(away);
+  log_.Info("The store answers again.", {{"away_ms", std::to_string(away_ms.count())}});
+  if (away >= kOutage) {
+    directory_.OnStoreReturned();
+  }
+}
+
+void StoreFollower::OnFailure(const Error& error) {
+  ++failures_;
+  const bool history_gone = error.kind() == ErrorKind::kStaleRevision;
+  bool list = false;
+  std::chrono::milliseconds pause = options_.first_pause;
+  {
+    const RankedLock lock(mutex_);
+    if (history_gone) {
+      revision_.reset();
+    } else if (!failing_since_) {
+      failing_since_ = clock_.now();
+    }
+    pause = std::min(options_.longest_pause,
+                     options_.first_pause * (1 << std::min(failures_in_row_, kMaxDoublings)));
+    ++failures_in_row_;
+    list = !revision_;
+    if (list) {
+      listed_.clear();
+      listed_at_.reset();
+      next_page_.clear();
+    }
+  }
+  log_.Warning("A call to the store failed.",
+               {{"error", ToString(error)}, {"retry_in_ms", std::to_string(pause.count())}});
+  if (history_gone) {
+    ListPage();
+    return;
+  }
+  pool_.After(pause, [this, list] {
+    if (list) {
+      ListPage();
+    } else {
+      WatchOn();
+    }
+  });
+}
+
+void StoreFollower::LogFaults(const StoreReply& reply) {
+  refused_values_ += reply.faults.size();
+  for (const Error& fault : reply.faults) {
+    log_.Warning("A value of the store is refused.", {{"error", ToString(fault)}});
+  }
+}
+
+void StoreFollower::Publish() {
+  listener_(directory_);
+  if (const std::optional<BootTime> due = directory_.next_lapse()) {
+    pool_.After(*due - clock_.now(), [this] { DropLapsed(); });
+  }
+}
+
+void StoreFollower::DropLapsed() {
+  const RankedLock lock(mutex_);
+  if (!stopped_ && directory_.DropLapsed()) {
+    log_.Info("Targets that did not report again are dropped.");
+    listener_(directory_);
+  }
+}
+
+}  // namespace peridotfork
--- /dev/null
+++ b/src/fanout/fan_out.cc
@@ -0,0 +1,138 @@
+#include "peridotfork/fanout/fan_out.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace peridotfork {
+namespace {
+
+constexpr std::array<std::string_view, 5> kOutcomeNames = {"complete", "partial", "refused",
+                                                           "failed", "timed_out"};
+
+}  // namespace
+
+std::string_view FanOutOutcomeName(FanOutOutcome outcome) {
+  return kOutcomeNames[static_cast<std::size_t>(outcome)];
+}
+
+FanOut::FanOut(FanOutPlan plan) : plan_(plan), shards_(plan.shards) {}
+
+std::optional<FanOut::Wish> FanOut::Next(BootTime now) {
+  if (Outcome(now)) {
+    return std::nullopt;
+  }
+  for (std::size_t i = 0; i < shards_.size(); ++i) {
+    if (const std::optional<AttemptPurpose> purpose = NextFor(shards_[i], now)) {
+      return Wish{i, *purpose};
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<AttemptPurpose> FanOut::NextFor(Shard& shard, BootTime now) {
+  if (shard.answered || shard.exhausted) {
+    return std::nullopt;
+  }
+  if (shard.open > 0) {
+    return CanHedge(shard) && now >= shard.hedge_at ? std::optional(AttemptPurpose::kHedge)
+                                                    : std::nullopt;
+  }
+  if (shard.sent == 0) {
+    return now >= shard.place_at ? std::optional(AttemptPurpose::kFirst) : std::nullopt;
+  }
+  const bool over = shard.ran >= plan_.max_attempts || (!plan_.idempotent && shard.ran > 0) ||
+                    shard.sent >= plan_.max_attempts + kMaxRefusals;
+  if (over) {
+    shard.exhausted = true;
+    return std::nullopt;
+  }
+  return now >= shard.place_at ? std::optional(AttemptPurpose::kRetry) : std::nullopt;
+}
+
+void FanOut::OnSent(std::size_t index, BootTime now) {
+  Shard& shard = shards_[index];
+  hedges_ += shard.open > 0 ? 1 : 0;
+  retries_ += shard.open == 0 && shard.sent > 0 ? 1 : 0;
+  ++shard.open;
+  ++shard.sent;
+  shard.hedge_at = now + plan_.hedge_delay;
+}
+
+void FanOut::OnNoTarget(const Wish& wish, BootTime now) {
+  Shard& shard = shards_[wish.shard];
+  if (wish.purpose == AttemptPurpose::kHedge) {
+    shard.hedge_at = now + kPlacePause;
+  } else if (now + kPlacePause < plan_.place_until) {
+    shard.place_at = now + kPlacePause;
+  } else {
+    shard.exhausted = true;
+  }
+}
+
+void FanOut::OnEnd(std::size_t index, AttemptResult result) {
+  Shard& shard = shards_[index];
+  --shard.open;
+  shard.answered = shard.answered || result == AttemptResult::kAnswered;
+  shard.ran += result == AttemptResult::kNotRun ? 0 : 1;
+}
+
+std::optional<FanOutOutcome> FanOut::Outcome(BootTime now) const {
+  const std::size_t answered = answered_count();
+  if (answered == shards_.size()) {
+    return FanOutOutcome::kComplete;
+  }
+  const auto pending = static_cast<std::size_t>(std::ranges::count_if(
+      shards_, [](const Shard& shard) { return !shard.answered && !shard.exhausted; }));
+  if (answered + pending < required()) {
+    return may_have_run() ? FanOutOutcome::kFailed : FanOutOutcome::kRefused;
+  }
+  const bool enough = answered >= required();
+  if (enough && (pending == 0 || now >= plan_.settle_at)) {
+    return FanOutOutcome::kPartial;
+  }
+  if (now >= plan_.give_up_at) {
+    return may_have_run() ? FanOutOutcome::kTimedOut : FanOutOutcome::kRefused;
+  }
+  return std::nullopt;
+}
+
+BootTime FanOut::wake_time() const {
+  BootTime wake = plan_.give_up_at;
+  if (answered_count() >= required()) {
+    wake = std::min(wake, plan_.settle_at);
+  }
+  for (const Shard& shard : shards_) {
+    if (shard.answered || shard.exhausted) {
+      continue;
+    }
+    if (shard.open == 0) {
+      wake = std::min(wake, shard.place_at);
+    } else if (CanHedge(shard)) {
+      wake = std::min(wake, shard.hedge_at);
+    }
+  }
+  return wake;
+}
+
+std::size_t FanOut::answered_count() const {
+  return static_cast<std::size_t>(std::ranges::count_if(shards_, &Shard::answered));
+}
+
+bool FanOut::may_have_run() const {
+  return std::ranges::any_of(
+      shards_, [](const Shard& shard) { return shard.ran > 0 || shard.open > 0; });
+}
+
+std::size_t FanOut::required() const {
+  // Keeps a coverage such as 0.9 of 10 from being rounded up to 10.
+  constexpr double kRounding = 1e-9;
+  const double share = plan_.min_coverage * static_cast<double>(shards_.size());
+  return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(share - kRounding)));
+}
+
+bool FanOut::CanHedge(const Shard& shard) const {
+  return plan_.idempotent && shard.open == 1 && shard.ran + shard.open < plan_.max_attempts;
+}
+
+}  // namespace peridotfork
--- /dev/null
+++ b/src/gateway/caller_session.cc
@@ -0,0 +1,229 @@
+#include "peridotfork/gateway/caller_session.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/http.hpp>
+#include <cerrno>
+#include <limits>
+#include <string>
+#include <utility>
+
+#include "peridotfork/gateway/request_runner.h"
+#include "peridotfork/http/client.h"
+
+namespace peridotfork {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+
+constexpr std::size_t kReadSize = 8 * 1024;
+// A request that arrives so soon after its connection was accepted was waited
+// for since the connection was opened.
+constexpr std::chrono::milliseconds kOpenedForRequest{100};
+// A caller that takes no bytes of its answer for so long is given up.
+constexpr std::chrono::seconds kWriteTimeout{10};
+// The body of a request has so many times the time of its header.
+constexpr int kBodyTimeFactor = 3;
+
+}  // namespace
+
+CallerSession::CallerSession(Tcp::socket socket,
+                             RequestSink& sink,
+                             std::function<void(CallerSession&)> on_end)
+    : stream_(std::move(socket)),
+      sink_(sink),
+      on_end_(std::move(on_end)),
+      accepted_(sink.clock().now()) {
+  beast::error_code ignored;
+  stream_.socket().set_option(Tcp::no_delay(true), ignored);
+  http::EnableDeadPeerDetection(stream_.socket());
+}
+
+CallerSession::~CallerSession() {
+  on_end_(*this);
+}
+
+void CallerSession::Run() {
+  asio::dispatch(stream_.get_executor(), [self = Self()] { self->WaitForRequest(); });
+}
+
+void CallerSession::CloseIfIdle() {
+  asio::dispatch(stream_.get_executor(), [self = Self()] {
+    if (!self->busy_) {
+      self->Close();
+    }
+  });
+}
+
+void CallerSession::WaitForRequest() {
+  busy_ = false;
+  const IngressLimits limits = sink_.limits();
+  parser_.emplace();
+  parser_->header_limit(static_cast<std::uint32_t>(std::min<std::uint64_t>(
+      limits.max_header.value(), std::numeric_limits<std::uint32_t>::max())));
+  parser_->body_limit(limits.max_body.value());
+  if (buffer_.size() > 0) {
+    busy_ = true;
+    request_start_ = sink_.clock().now();
+    ReadHeader();
+    return;
+  }
+  stream_.expires_after(limits.idle_timeout);
+  stream_.async_read_some(buffer_.prepare(kReadSize),
+                          [self = Self()](const ErrorCode& error, std::size_t count) {
+                            self->OnFirstBytes(error, count);
+                          });
+}
+
+void CallerSession::OnFirstBytes(const ErrorCode& error, std::size_t count) {
+  if (error || closed_) {
+    Close();
+    return;
+  }
+  busy_ = true;
+  buffer_.commit(count);
+  request_start_ = sink_.clock().now();
+  if (first_request_ && request_start_ - accepted_ < kOpenedForRequest) {
+    request_start_ = accepted_;
+  }
+  first_request_ = false;
+  ReadHeader();
+}
+
+void CallerSession::ReadHeader() {
+  stream_.expires_after(sink_.limits().header_timeout);
+  bhttp::async_read_header(stream_, buffer_, *parser_,
+                           [self = Self()](const ErrorCode& error, std::size_t) {
+                             self->OnHeader(error);
+                           });
+}
+
+void CallerSession::OnHeader(const ErrorCode& error) {
+  if (error) {
+    OnReadError(error);
+  } else if (parser_->is_done()) {
+    HandOver();
+  } else {
+    ReadBody();
+  }
+}
+
+void CallerSession::ReadBody() {
+  if (beast::iequals(parser_->get()[bhttp::field::expect], "100-continue")) {
+    // The caller holds its body back until it is asked for it.
+    response_.emplace(bhttp::status::continue_, 11);
+    bhttp::async_write(stream_, *response_, [self = Self()](const ErrorCode& error, std::size_t) {
+      if (error) {
+        self->Close();
+        return;
+      }
+      self->parser_->get().erase(bhttp::field::expect);
+      self->ReadBody();
+    });
+    return;
+  }
+  stream_.expires_after(sink_.limits().header_timeout * kBodyTimeFactor);
+  bhttp::async_read(stream_, buffer_, *parser_,
+                    [self = Self()](const ErrorCode& error, std::size_t) { self->OnBody(error); });
+}
+
+void CallerSession::OnBody(const ErrorCode& error) {
+  if (error) {
+    OnReadError(error);
+  } else {
+    HandOver();
+  }
+}
+
+void CallerSession::OnReadError(const ErrorCode& error) {
+  if (error == bhttp::error::body_limit) {
+    Write(sink_.Refuse(413, MakeError(ErrorKind::kTooLarge, "body", error.message())), false);
+  } else if (error == bhttp::error::header_limit) {
+    Write(sink_.Refuse(431, MakeError(ErrorKind::kTooLarge, "header", error.message())), false);
+  } else if (error != bhttp::error::end_of_stream && error != bhttp::error::partial_message &&
+             error.category() == bhttp::make_error_code(bhttp::error::bad_method).category()) {
+    Write(sink_.Refuse(400, MakeError(ErrorKind::kMalformed, "request", error.message())), false);
+  } else {
+    Close();
+  }
+}
+
+void CallerSession::HandOver() {
+  http::RawRequest request = parser_->release();
+  keep_alive_ = request.keep_alive();
+  stream_.expires_never();
+  RequestRunnerPtr runner = sink_.Handle(
+      std::move(request), request_start_, [self = Self()](http::RawResponse response) mutable {
+        asio::post(self->stream_.get_executor(),
+                   [self, response = std::move(response)]() mutable {
+                     self->Write(std::move(response), self->keep_alive_);
+                   });
+      });
+  if (runner != nullptr) {
+    runner_ = runner;
+    WatchForClose();
+    runner->Start();
+  }
+}
+
+void CallerSession::WatchForClose() {
+  stream_.socket().async_wait(Tcp::socket::wait_read, [self = Self()](const ErrorCode& error) {
+    self->OnReadable(error);
+  });
+}
+
+void CallerSession::OnReadable(const ErrorCode& error) {
+  if (error || runner_ == nullptr) {
+    return;
+  }
+  char byte = 0;
+  const ssize_t count = recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const bool ended = count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  if (ended) {
+    std::exchange(runner_, nullptr)->OnCallerGone();
+    Close();
+  }
+}
+
+void CallerSession::Write(http::RawResponse response, bool keep_alive) {
+  runner_.reset();
+  if (closed_) {
+    return;
+  }
+  ErrorCode ignored;
+  // Ends the wait for the caller's close.
+  stream_.socket().cancel(ignored);
+  keep_alive_ = keep_alive && !sink_.draining();
+  response_.emplace(std::move(response));
+  response_->keep_alive(keep_alive_);
+  stream_.expires_after(kWriteTimeout);
+  bhttp::async_write(stream_, *response_, [self = Self()](const ErrorCode& error, std::size_t) {
+    self->OnWritten(error);
+  });
+}
+
+void CallerSession::OnWritten(const ErrorCode& error) {
+  response_.reset();
+  if (error || !keep_alive_) {
+    Close();
+    return;
+  }
+  WaitForRequest();
+}
+
+void CallerSession::Close() {
+  busy_ = false;
+  if (std::exchange(closed_, true)) {
+    return;
+  }
+  ErrorCode ignored;
+  stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+  stream_.close();
+}
+
+}  // namespace peridotfork
--- /dev/null
+++ b/src/gateway/gateway.cc
@@ -0,0 +1,253 @@
+#include "peridotfork/gateway/gateway.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/strand.hpp>
+#include <string_view>
+#include <utility>
+
+#include "peridotfork/http/client.h"
+
+namespace peridotfork {
+namespace {
+
+namespace asio = boost::asio;
+
+// New connections are taken for so long after a planned stop began: the balancer
+// asks for readiness once a second and acts on the second failure.
+constexpr std::chrono::milliseconds kAcceptWhileDraining{2800};
+// Then idle connections are closed, after the last answers said so.
+constexpr std::chrono::milliseconds kCloseIdleAfter{3000};
+constexpr std::chrono::milliseconds kRetryWithoutCatalogue{300};
+// A refusal for overload tells the caller to come back after this time.
+constexpr std::chrono::milliseconds kRetryAfterOverload{200};
+
+std::string_view PathOf(const std::string& target) {
+  return std::string_view(target).substr(0, target.find('?'));
+}
+
+}  // namespace
+
+Gateway::Gateway(const DaemonContext& context, const GatewaySettings& settings, GatewayEdge edge)
+    : context_(context),
+      settings_(settings),
+      edge_(std::move(edge)),
+      request_log_(metrics_, context.log),
+      targets_(context.clock, settings.data_centre),
+      connections_(context.pool, context.clock),
+      runner_context_{context.pool.context(), context.clock, *edge_.codec, targets_, connections_,
+                      request_log_},
+      follower_(context.pool,
+                context.clock,
+                *edge_.store,
+                context.log,
+                [this](const FleetDirectory& directory) { OnDirectory(directory); }),
+      status_server_(context.pool.context(), {}, *this),
+      metrics_server_(context.pool.context(), {}, *this),
+      acceptor_(asio::make_strand(context.pool.context())) {
+  metrics_.AddGauge("peridotfork_targets", "Targets in the store.",
+                    [this] { return static_cast<double>(targets_.size()); });
+  metrics_.AddGauge("peridotfork_connections", "Connections to targets.",
+                    [this] { return static_cast<double>(connections_.size()); });
+  metrics_.AddGauge("peridotfork_connections_opened", "Connections to targets since the start.",
+                    [this] { return static_cast<double>(connections_.opened()); });
+  metrics_.AddGauge("peridotfork_requests_in_flight", "Requests without an answer.",
+                    [this] { return static_cast<double>(in_flight_); });
+  metrics_.AddGauge("peridotfork_store_calls", "Calls to the store since the start.",
+                    [this] { return static_cast<double>(follower_.calls()); });
+  metrics_.AddGauge("peridotfork_store_failures", "Failed calls to the store since the start.",
+                    [this] { return static_cast<double>(follower_.failures()); });
+}
+
+Gateway::~Gateway() = default;
+
+Result<void> Gateway::Start() {
+  BOOST_OUTCOME_TRYV(status_server_.Listen(settings_.http_address));
+  BOOST_OUTCOME_TRYV(metrics_server_.Listen(settings_.metrics_address));
+  BOOST_OUTCOME_TRYV(Listen());
+  connections_.Start();
+  follower_.Start();
+  return boost::outcome_v2::success();
+}
+
+Result<void> Gateway::Listen() {
+  const auto endpoint = http::ParseEndpoint(settings_.ingress_address);
+  if (!endpoint.has_value()) {
+    return endpoint.error();
+  }
+  boost::system::error_code error;
+  acceptor_.open(endpoint.value().protocol(), error);
+  if (!error) {
+    acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor_.bind(endpoint.value(), error);
+  }
+  if (!error) {
+    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return MakeError(ErrorKind::kTransport, "listen on " + settings_.ingress_address.value(),
+                     error.message());
+  }
+  accepting_ = true;
+  Accept();
+  return boost::outcome_v2::success();
+}
+
+Address Gateway::ingress_address() const {
+  boost::system::error_code error;
+  const Tcp::endpoint endpoint = acceptor_.local_endpoint(error);
+  return Address(endpoint.address().to_string() + ":" + std::to_string(endpoint.port()));
+}
+
+void Gateway::Accept() {
+  acceptor_.async_accept(
+      asio::make_strand(context_.pool.context()),
+      [this](const boost::system::error_code& error, Tcp::socket socket) {
+        if (error == asio::error::operation_aborted || !accepting_) {
+          return;
+        }
+        if (!error) {
+          boost::intrusive_ptr<CallerSession> session(
+              new CallerSession(std::move(socket), *this, [this](CallerSession& ended) {
+                const RankedLock lock(sessions_mutex_);
+                sessions_.erase(sessions_.iterator_to(ended));
+              }));
+          {
+            const RankedLock lock(sessions_mutex_);
+            sessions_.push_back(*session);
+          }
+          session->Run();
+        }
+        Accept();
+      });
+}
+
+void Gateway::BeginDrain() {
+  draining_ = true;
+  context_.pool.After(kAcceptWhileDraining, [this] {
+    asio::dispatch(acceptor_.get_executor(), [this] {
+      accepting_ = false;
+      boost::system::error_code ignored;
+      acceptor_.close(ignored);
+    });
+  });
+  context_.pool.After(kCloseIdleAfter, [this] { CloseIdleSessions(); });
+}
+
+void Gateway::CloseIdleSessions() {
+  std::vector<boost::intrusive_ptr<CallerSession>> sessions;
+  {
+    const RankedLock lock(sessions_mutex_);
+    for (CallerSession& session : sessions_) {
+      sessions.emplace_back(&session);
+    }
+  }
+  for (const auto& session : sessions) {
+    session->CloseIfIdle();
+  }
+}
+
+bool Gateway::drained() const {
+  const RankedLock lock(sessions_mutex_);
+  return !accepting_ && in_flight_ == 0 && sessions_.empty();
+}
+
+void Gateway::Close() {
+  follower_.Stop();
+  connections_.Stop();
+  status_server_.Stop();
+  metrics_server_.Stop();
+}
+
+void Gateway::OnDirectory(const FleetDirectory& directory) {
+  targets_.Update(directory.targets(), directory.drained(), directory.catalogue().get());
+  const RankedLock lock(catalogue_mutex_);
+  catalogue_ = directory.catalogue();
+}
+
+RequestRunnerPtr Gateway::Handle(http::RawRequest request, BootTime start, Callback done) {
+  RoutedRequest routed;
+  routed.ingress = edge_.codec->DecodeRequest(request);
+  {
+    const RankedLock lock(catalogue_mutex_);
+    routed.catalogue = catalogue_;
+  }
+  const RequestId id = routed.ingress.id;
+  const auto refuse = [&](unsigned status, const Error& error,
+                          std::optional<std::chrono::milliseconds> retry_after) {
+    request_log_.OnRefused(id, status, error);
+    done(edge_.codec->EncodeFault(status, error, retry_after));
+    return nullptr;
+  };
+  if (routed.catalogue == nullptr) {
+    return refuse(503, MakeError(ErrorKind::kNoConfiguration, "gateway", "no configuration yet"),
+                  kRetryWithoutCatalogue);
+  }
+  routed.route = routed.catalogue->FindRoute(routed.ingress.host, routed.ingress.path);
+  if (routed.route == nullptr) {
+    return refuse(404,
+                  MakeError(ErrorKind::kUnknownName, "route",
+                            routed.ingress.host + routed.ingress.path),
+                  std::nullopt);
+  }
+  if (in_flight_ >= settings_.max_in_flight) {
+    return refuse(503, MakeError(ErrorKind::kShed, "gateway", "too many requests in flight"),
+                  kRetryAfterOverload);
+  }
+  routed.services = ServicesOf(*routed.route);
+  routed.message = std::move(request);
+  routed.start = start;
+  ++in_flight_;
+  return RequestRunnerPtr(new RequestRunner(runner_context_, std::move(routed), std::move(done),
+                                            [this] { --in_flight_; }));
+}
+
+std::vector<ServiceId> Gateway::ServicesOf(const Route& route) {
+  if (route.gather) {
+    return route.gather->shards;
+  }
+  return {ChooseService(route, route.services.size() > 1 ? split_sequence_++ : 0)};
+}
+
+http::RawResponse Gateway::Refuse(unsigned status, const Error& error) {
+  request_log_.OnRefused(RequestId(), status, error);
+  return edge_.codec->EncodeFault(status, error, std::nullopt);
+}
+
+IngressLimits Gateway::limits() const {
+  const RankedLock lock(catalogue_mutex_);
+  return catalogue_ == nullptr ? IngressLimits() : catalogue_->limits();
+}
+
+bool Gateway::ready() const {
+  const RankedLock lock(catalogue_mutex_);
+  return !draining_ && catalogue_ != nullptr;
+}
+
+void Gateway::Handle(http::Request request, http::Responder respond) {
+  if (PathOf(request.path) == settings_.ready_path) {
+    AnswerReady(request, respond);
+  } else {
+    static const http::Router<Gateway> kRouter{{"GET", "/metrics", &Gateway::AnswerMetrics}};
+    kRouter.Dispatch(*this, request, respond);
+  }
+}
+
+void Gateway::AnswerReady(const http::Request&, const http::Responder& respond) {
+  if (ready()) {
+    respond(http::JsonResponse(R"({"ready":true})"));
+  } else {
+    respond(http::ErrorResponse(
+        503, MakeError(draining_ ? ErrorKind::kDraining : ErrorKind::kNoConfiguration, "gateway")));
+  }
+}
+
+void Gateway::AnswerMetrics(const http::Request&, const http::Responder& respond) {
+  http::Response response;
+  response.content_type = "text/plain; version=0.0.4";
+  response.body = metrics_.Print();
+  respond(std::move(response));
+}
+
+}  // namespace peridotfork
--- /dev/null
+++ b/src/gateway/request_runner.cc
@@ -0,0 +1,323 @@
+#include "peridotfork/gateway/request_runner.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <string_view>
+#include <utility>
+
+#include "peridotfork/fanout/top_records.h"
+
+namespace peridotfork {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Way of an answer to the caller, of its request to this host, and the work on
+// both; an answer that is due has to leave so much earlier.
+constexpr milliseconds kCallerTransit{10};
+// Share of the objective during which a request without a usable target waits
+// for one.
+constexpr double kPlaceShare = 0.18;
+// An answer leaves so much before the caller or the route gives up.
+constexpr milliseconds kGiveUpMargin{12};
+// Targets of other data centres answer within this time of their deadline.
+constexpr milliseconds kTargetMargin{5};
+// How long the answer of an attempt that lost is waited for, so that its
+// connection can be kept.
+constexpr milliseconds kLoserGrace{300};
+// The same for a request that must not be broken off.
+constexpr std::chrono::seconds kUnrepeatableGrace{5};
+// Time to come back after a refusal, as a share of the objective.
+constexpr double kRetryAfterShare = 0.12;
+constexpr milliseconds kMinRetryAfter{10};
+// Wait of a caller that does not say how long it waits.
+constexpr std::chrono::seconds kDefaultPatience{30};
+
+constexpr std::array<std::string_view, 8> kEndNames = {
+    "answered", "failed", "shed", "misdirected", "not_connected", "lost", "timed_out", "cancelled"};
+
+std::string_view EndName(AttemptEnd end) {
+  return kEndNames[static_cast<std::size_t>(end)];
+}
+
+std::chrono::nanoseconds Scale(std::chrono::nanoseconds time, double factor) {
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(time * factor);
+}
+
+FanOutPlan MakePlan(const RoutedRequest& request, const TargetTable& targets) {
+  const Route& route = *request.route;
+  const std::chrono::nanoseconds patience = request.ingress.patience.value_or(kDefaultPatience);
+  FanOutPlan plan;
+  plan.shards = request.services.size();
+  plan.max_attempts = route.max_attempts;
+  plan.idempotent = route.gather || route.repeatability == Repeatability::kIdempotent;
+  plan.min_coverage = route.gather ? route.gather->min_coverage : 1;
+  plan.hedge_delay = targets.HedgeDelay(route);
+  plan.settle_at = request.start + route.objective - kCallerTransit;
+  plan.place_until = request.start + Scale(route.objective, kPlaceShare);
+  plan.give_up_at = request.start +
+                    std::min<std::chrono::nanoseconds>(patience, route.timeout) - kGiveUpMargin;
+  return plan;
+}
+
+AttemptEnd EndOf(ExchangeState state) {
+  switch (state) {
+    case ExchangeState::kNotConnected:
+      return AttemptEnd::kNotConnected;
+    case ExchangeState::kAbandoned:
+      return AttemptEnd::kTimedOut;
+    default:
+      return AttemptEnd::kLost;
+  }
+}
+
+}  // namespace
+
+RequestRunner::RequestRunner(GatewayContext& context,
+                             RoutedRequest request,
+                             Callback done,
+                             std::function<void()> on_end)
+    : context_(context),
+      request_(std::move(request)),
+      forwarded_(context.codec.Forwarded(request_.message)),
+      done_(std::move(done)),
+      on_end_(std::move(on_end)),
+      timer_(context.io),
+      fan_out_(MakePlan(request_, context.targets)),
+      shards_(request_.services.size()) {}
+
+void RequestRunner::Start() {
+  const RankedLock lock(mutex_);
+  Advance();
+}
+
+void RequestRunner::OnCallerGone() {
+  const RankedLock lock(mutex_);
+  if (concluded_ || !fan_out_.plan().idempotent) {
+    return;
+  }
+  concluded_ = true;
+  caller_gone_ = true;
+  timer_.cancel();
+  ReleaseAttempts(context_.clock.now());
+  LogOutcome("caller_gone", 0);
+  done_ = nullptr;
+  on_end_();
+}
+
+void RequestRunner::Advance() {
+  if (concluded_) {
+    return;
+  }
+  const BootTime now = context_.clock.now();
+  while (const std::optional<FanOut::Wish> wish = fan_out_.Next(now)) {
+    Send(*wish, now);
+  }
+  if (const std::optional<FanOutOutcome> outcome = fan_out_.Outcome(now)) {
+    Conclude(*outcome);
+  } else {
+    ArmTimer();
+  }
+}
+
+void RequestRunner::Send(const FanOut::Wish& wish, BootTime now) {
+  Shard& shard = shards_[wish.shard];
+  const ServiceId& service = request_.services[wish.shard];
+  AttemptPtr attempt =
+      context_.targets.Pick({request_.route, service, wish.purpose, shard.tried});
+  if (attempt == nullptr) {
+    fan_out_.OnNoTarget(wish, now);
+    return;
+  }
+  fan_out_.OnSent(wish.shard, now);
+  if (wish.purpose != AttemptPurpose::kFirst) {
+    context_.log.OnAttempt(request_.ingress.id,
+                           wish.purpose == AttemptPurpose::kHedge ? "hedge" : "retry", service,
+                           attempt->target->id(), now - request_.start, {});
+  }
+  Exchange exchange;
+  exchange.request = forwarded_;
+  const auto time_left = std::chrono::duration_cast<milliseconds>(
+      fan_out_.plan().give_up_at + kGiveUpMargin - kTargetMargin - now);
+  context_.codec.Address(exchange.request, attempt->target->id(),
+                         std::max(time_left, milliseconds(1)));
+  exchange.matches = [&codec = context_.codec,
+                      id = request_.ingress.id](const http::RawResponse& response) {
+    return codec.Matches(response, id);
+  };
+  exchange.done = [self = boost::intrusive_ptr(this), index = wish.shard,
+                   attempt](ExchangeResult result) {
+    self->OnExchange(index, attempt, std::move(result));
+  };
+  ConnectionPtr connection = context_.connections.Take(attempt->target);
+  const std::uint64_t number = connection->Start(std::move(exchange));
+  shard.tried.push_back(attempt);
+  shard.sendings.push_back({std::move(attempt), std::move(connection), number});
+}
+
+void RequestRunner::OnExchange(std::size_t index,
+                               const AttemptPtr& attempt,
+                               ExchangeResult result) {
+  const RankedLock lock(mutex_);
+  Shard& shard = shards_[index];
+  std::erase_if(shard.sendings,
+                [&](const Sending& sending) { return sending.attempt == attempt; });
+  AttemptResult ended = AttemptResult::kMayHaveRun;
+  if (result.state == ExchangeState::kAnswered) {
+    ended = TakeAnswer(index, *attempt, context_.codec.DecodeAnswer(std::move(result.response)));
+  } else {
+    const AttemptEnd end = caller_gone_ ? AttemptEnd::kCancelled : EndOf(result.state);
+    ended = result.state == ExchangeState::kNotConnected ? AttemptResult::kNotRun : AttemptResult::kMayHaveRun;
+    context_.targets.Finish(*attempt, end, std::nullopt);
+    last_fault_ = EndName(end);
+    context_.log.OnAttempt(request_.ingress.id, EndName(end), request_.services[index],
+                           attempt->target->id(), context_.clock.now() - attempt->sent,
+                           result.detail);
+  }
+  fan_out_.OnEnd(index, ended);
+  Advance();
+}
+
+AttemptResult RequestRunner::TakeAnswer(std::size_t index,
+                                        Attempt& attempt,
+                                        UpstreamAnswer answer) {
+  const std::chrono::nanoseconds time = context_.clock.now() - attempt.sent;
+  const bool usable = IsUsable(answer);
+  const AttemptEnd end = usable               ? AttemptEnd::kAnswered
+                         : answer.misdirected ? AttemptEnd::kMisdirected
+                         : answer.not_run     ? AttemptEnd::kShed
+                                              : AttemptEnd::kFailed;
+  context_.targets.Finish(attempt, end, answer.load);
+  if (usable) {
+    context_.targets.ObserveRoute(*request_.route, time);
+    if (!shards_[index].answer) {
+      shards_[index].answer = std::move(answer);
+    }
+    return AttemptResult::kAnswered;
+  }
+  last_fault_ = EndName(end);
+  context_.log.OnAttempt(request_.ingress.id, EndName(end), request_.services[index],
+                         attempt.target->id(), time,
+                         "status " + std::to_string(answer.message.result_int()));
+  const bool not_run = answer.not_run;
+  if (!not_run && !answer.signature.empty() && !answer.transformed) {
+    failure_ = std::move(answer);
+  }
+  return not_run ? AttemptResult::kNotRun : AttemptResult::kMayHaveRun;
+}
+
+bool RequestRunner::IsUsable(const UpstreamAnswer& answer) const {
+  if (answer.not_run || answer.transformed || answer.signature.empty()) {
+    return false;
+  }
+  const unsigned status = answer.message.result_int();
+  const bool success = status >= 200 && status < 300;
+  // A target's verdict on the request itself is final; its own failure is not.
+  return success || (!request_.route->gather && status >= 300 && status < 500);
+}
+
+void RequestRunner::ArmTimer() {
+  const BootTime wake = fan_out_.wake_time();
+  if (wake == armed_for_) {
+    return;
+  }
+  armed_for_ = wake;
+  timer_.expires_after(std::max(wake - context_.clock.now(), std::chrono::nanoseconds(0)));
+  timer_.async_wait(
+      [self = boost::intrusive_ptr(this)](const boost::system::error_code& error) {
+        if (!error) {
+          const RankedLock lock(self->mutex_);
+          self->armed_for_ = BootTime();
+          self->Advance();
+        }
+      });
+}
+
+void RequestRunner::Conclude(FanOutOutcome outcome) {
+  concluded_ = true;
+  timer_.cancel();
+  http::RawResponse response = MakeResponse(outcome);
+  LogOutcome(FanOutOutcomeName(outcome), response.result_int());
+  ReleaseAttempts(context_.clock.now() +
+                  (fan_out_.plan().idempotent ? kLoserGrace : kUnrepeatableGrace));
+  std::exchange(done_, nullptr)(std::move(response));
+  on_end_();
+}
+
+http::RawResponse RequestRunner::MakeResponse(FanOutOutcome outcome) {
+  const Route& route = *request_.route;
+  const std::string where = "route " + route.id.value();
+  switch (outcome) {
+    case FanOutOutcome::kComplete:
+    case FanOutOutcome::kPartial:
+      break;
+    case FanOutOutcome::kRefused:
+      return context_.codec.EncodeFault(
+          503, MakeError(ErrorKind::kUnavailable, where, "no target can take the request now"),
+          std::max(kMinRetryAfter,
+                   std::chrono::duration_cast<milliseconds>(
+                       Scale(route.objective, kRetryAfterShare))));
+    case FanOutOutcome::kFailed:
+      if (!route.gather && failure_) {
+        return context_.codec.Encode(std::move(*failure_));
+      }
+      return context_.codec.EncodeFault(
+          502, MakeError(ErrorKind::kTargetLost, where, "the last attempt ended as " + last_fault_),
+          std::nullopt);
+    case FanOutOutcome::kTimedOut:
+      return context_.codec.EncodeFault(
+          504, MakeError(ErrorKind::kTimedOut, where, "the targets did not answer in time"),
+          std::nullopt);
+  }
+  if (!route.gather) {
+    return context_.codec.Encode(std::move(*shards_.front().answer));
+  }
+  MergedAnswer merged;
+  std::vector<std::string_view> parts;
+  std::set<std::string> seen;
+  for (const Shard& shard : shards_) {
+    if (shard.answer && seen.insert(shard.answer->signature).second) {
+      merged.signatures.push_back(shard.answer->signature);
+      parts.emplace_back(shard.answer->message.body());
+    }
+  }
+  merged.missing = shards_.size() - parts.size();
+  merged.body = MergeTopRecords(parts, route.gather->top_records);
+  return context_.codec.Encode(merged);
+}
+
+void RequestRunner::ReleaseAttempts(BootTime end) {
+  for (const Shard& shard : shards_) {
+    for (const Sending& sending : shard.sendings) {
+      sending.connection->Abandon(sending.exchange, end);
+    }
+  }
+}
+
+void RequestRunner::LogOutcome(std::string_view outcome, unsigned status) {
+  RequestRecord record;
+  record.id = request_.ingress.id;
+  record.route = request_.route->id;
+  record.version = request_.catalogue->version();
+  record.outcome = outcome;
+  record.status = status;
+  record.elapsed = context_.clock.now() - request_.start;
+  record.shards = shards_.size();
+  record.answered = fan_out_.answered_count();
+  record.hedges = fan_out_.hedges();
+  record.retries = fan_out_.retries();
+  record.fault = last_fault_;
+  for (std::size_t i = 0; i < shards_.size(); ++i) {
+    if (fan_out_.answered(i)) {
+      continue;
+    }
+    record.missing += (record.missing.empty() ? "" : ";") + request_.services[i].value() + ":";
+    for (const AttemptPtr& attempt : shards_[i].tried) {
+      record.missing += attempt->target->id().value() + ",";
+    }
+  }
+  context_.log.OnEnd(record);
+}
+
+}  // namespace peridotfork
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,5 +1,6 @@
 #include "peridotfork/http/client.h"
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <boost/asio/dispatch.hpp>
@@ -34,6 +35,24 @@
   return asio::ip::tcp::endpoint(ip, port);
 }
 
+void EnableDeadPeerDetection(asio::ip::tcp::socket& socket) {
+  // Two probes, a second apart, after a second of silence.
+  constexpr int kProbeSeconds = 1;
+  constexpr int kProbes = 2;
+  constexpr unsigned kUnackedMilliseconds = 3000;
+  const int on = 1;
+  const int handle = socket.native_handle();
+  // A socket that refuses an option works without it.
+  static_cast<void>(setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on));
+  for (const int option : {TCP_KEEPIDLE, TCP_KEEPINTVL}) {
+    static_cast<void>(
+        setsockopt(handle, IPPROTO_TCP, option, &kProbeSeconds, sizeof kProbeSeconds));
+  }
+  static_cast<void>(setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof kProbes));
+  static_cast<void>(setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnackedMilliseconds,
+                               sizeof kUnackedMilliseconds));
+}
+
 ClientConnection::ClientConnection(asio::io_context& context,
                                    Address address,
                                    std::uint64_t body_limit)
@@ -57,6 +76,7 @@
           }
           beast::error_code ignored;
           self->stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+          EnableDeadPeerDetection(self->stream_.socket());
           self->stream_.expires_never();
           done(boost::outcome_v2::success());
         });
--- /dev/null
+++ b/src/platform/message_codec.cc
@@ -0,0 +1,195 @@
+#include "peridotfork/platform/message_codec.h"
+
+#include <algorithm>
+#include <boost/beast/http.hpp>
+#include <charconv>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <string_view>
+#include <utility>
+
+namespace peridotfork::platform {
+namespace {
+
+namespace bhttp = boost::beast::http;
+using std::chrono::milliseconds;
+
+constexpr const char* kRequestId = "Request-Id";
+// Milliseconds that the sender waits for the answer.
+constexpr const char* kPatience = "Timeout-Ms";
+// Only the target with this id may run the request.
+constexpr const char* kExpectedTarget = "Target-Instance";
+constexpr const char* kSignature = "Response-Stamp";
+constexpr const char* kSignatures = "Part-Stamps";
+constexpr const char* kMissing = "Missing-Parts";
+constexpr const char* kNotRun = "Not-Executed";
+// Running requests, waiting requests and slots.
+constexpr const char* kLoad = "Server-Load";
+
+constexpr unsigned kMisdirected = 421;
+
+std::string_view View(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+template <typename Number>
+std::optional<Number> ParseNumber(std::string_view text) {
+  Number number = 0;
+  const char* const end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, number);
+  if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+std::optional<LoadReport> ParseLoad(std::string_view text) {
+  std::uint32_t numbers[3] = {};
+  for (std::uint32_t& number : numbers) {
+    const std::size_t comma = text.find(',');
+    const auto parsed = ParseNumber<std::uint32_t>(text.substr(0, comma));
+    if (!parsed) {
+      return std::nullopt;
+    }
+    number = *parsed;
+    text = comma == std::string_view::npos ? std::string_view() : text.substr(comma + 1);
+  }
+  return LoadReport{numbers[0], numbers[1], Slots(numbers[2])};
+}
+
+// Fields that concern one connection, besides those that a message's own
+// Connection field names.
+bool IsHopByHop(bhttp::field name) {
+  switch (name) {
+    case bhttp::field::connection:
+    case bhttp::field::keep_alive:
+    case bhttp::field::proxy_authenticate:
+    case bhttp::field::proxy_authorization:
+    case bhttp::field::proxy_connection:
+    case bhttp::field::te:
+    case bhttp::field::trailer:
+    case bhttp::field::transfer_encoding:
+    case bhttp::field::upgrade:
+    case bhttp::field::content_length:
+    case bhttp::field::expect:
+      return true;
+    default:
+      return false;
+  }
+}
+
+// Copies the fields that may pass on to the next connection.
+void CopyEndToEnd(const bhttp::fields& from, bhttp::fields& to) {
+  bhttp::token_list named(from[bhttp::field::connection]);
+  for (const auto& field : from) {
+    if (!IsHopByHop(field.name()) && !named.exists(field.name_string())) {
+      to.insert(field.name(), field.name_string(), field.value());
+    }
+  }
+}
+
+}  // namespace
+
+IngressRequest PlatformCodec::DecodeRequest(const http::RawRequest& request) const {
+  IngressRequest decoded;
+  const std::string_view host = View(request[bhttp::field::host]);
+  decoded.host = std::string(host.substr(0, host.rfind(':')));
+  std::ranges::transform(decoded.host, decoded.host.begin(), [](unsigned char character) {
+    return static_cast<char>(std::tolower(character));
+  });
+  const std::string_view target = View(request.target());
+  decoded.path = std::string(target.substr(0, target.find('?')));
+  decoded.id = RequestId(std::string(View(request[kRequestId])));
+  if (const auto patience = ParseNumber<std::int64_t>(View(request[kPatience]))) {
+    decoded.patience = milliseconds(std::clamp<std::int64_t>(*patience, 0, 86'400'000));
+  }
+  return decoded;
+}
+
+http::RawRequest PlatformCodec::Forwarded(const http::RawRequest& request) const {
+  http::RawRequest forwarded;
+  forwarded.version(11);
+  forwarded.method_string(request.method_string());
+  forwarded.target(request.target());
+  CopyEndToEnd(request, forwarded);
+  forwarded.erase(kPatience);
+  forwarded.erase(kExpectedTarget);
+  forwarded.body() = request.body();
+  const bool has_body = request.has_content_length() || request.chunked();
+  if (has_body || !request.body().empty()) {
+    forwarded.content_length(request.body().size());
+  }
+  return forwarded;
+}
+
+void PlatformCodec::Address(http::RawRequest& request,
+                            const TargetId& target,
+                            milliseconds time_left) const {
+  request.set(kPatience, std::to_string(time_left.count()));
+  request.set(kExpectedTarget, target.value());
+}
+
+bool PlatformCodec::Matches(const http::RawResponse& response, const RequestId& id) const {
+  const auto field = response.find(kRequestId);
+  return field == response.end() || View(field->value()) == id.value();
+}
+
+UpstreamAnswer PlatformCodec::DecodeAnswer(http::RawResponse response) const {
+  UpstreamAnswer answer;
+  answer.misdirected = response.result_int() == kMisdirected;
+  answer.not_run = answer.misdirected || response.find(kNotRun) != response.end();
+  answer.signature = std::string(View(response[kSignature]));
+  answer.transformed = response.find(bhttp::field::content_encoding) != response.end();
+  answer.load = ParseLoad(View(response[kLoad]));
+  answer.message = std::move(response);
+  return answer;
+}
+
+http::RawResponse PlatformCodec::Encode(UpstreamAnswer answer) const {
+  http::RawResponse response;
+  response.version(11);
+  response.result(answer.message.result_int());
+  CopyEndToEnd(answer.message, response);
+  response.body() = std::move(answer.message.body());
+  response.prepare_payload();
+  return response;
+}
+
+http::RawResponse PlatformCodec::Encode(const MergedAnswer& answer) const {
+  http::RawResponse response;
+  response.version(11);
+  response.result(bhttp::status::ok);
+  std::string signatures;
+  for (const std::string& signature : answer.signatures) {
+    signatures.append(signatures.empty() ? "" : ", ").append(signature);
+  }
+  response.set(kSignatures, signatures);
+  response.set(kMissing, std::to_string(answer.missing));
+  response.set(bhttp::field::content_type, "application/octet-stream");
+  response.body() = answer.body;
+  response.prepare_payload();
+  return response;
+}
+
+http::RawResponse PlatformCodec::EncodeFault(unsigned status,
+                                             const Error& error,
+                                             std::optional<milliseconds> retry_after) const {
+  http::RawResponse response;
+  response.version(11);
+  response.result(status);
+  response.set(bhttp::field::content_type, "application/json");
+  if (retry_after) {
+    char seconds[32];
+    std::snprintf(seconds, sizeof seconds, "%.3f", static_cast<double>(retry_after->count()) / 1e3);
+    response.set(bhttp::field::retry_after, seconds);
+  }
+  const nlohmann::json body = {
+      {"error",
+       {{"kind", ErrorKindName(error.kind())}, {"where", error.where}, {"message", error.detail}}}};
+  // Faults may quote bytes that are not text.
+  response.body() = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  response.prepare_payload();
+  return response;
+}
+
+}  // namespace peridotfork::platform
--- /dev/null
+++ b/src/platform/store_client.cc
@@ -0,0 +1,196 @@
+#include "peridotfork/platform/store_client.h"
+
+#include <boost/beast/core/detail/base64.hpp>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+#include "peridotfork/internal/platform/json_reader.h"
+#include "peridotfork/platform/catalogue_codec.h"
+
+namespace peridotfork::platform {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+// Keys of the store.
+constexpr std::string_view kConfigurationKey = "op/config";
+constexpr std::string_view kEvacuationPrefix = "op/evacuate/";
+constexpr std::string_view kTargetPrefix = "servers/";
+
+// Twice the platform's bound of a megabyte for a value, in base64 and with the
+// other items of a page.
+constexpr std::uint64_t kMaxAnswerBytes = 4'000'000;
+// Time for an answer beyond the wait that was asked for.
+constexpr milliseconds kAnswerTime{1500};
+
+// Standard base64 with padding; nothing for anything else.
+std::optional<std::string> DecodeBase64(const std::string& text) {
+  namespace base64 = boost::beast::detail::base64;
+  std::string bytes(base64::decoded_size(text.size()), '\0');
+  const auto [written, read] = base64::decode(bytes.data(), text.data(), text.size());
+  const std::size_t padding = text.size() - read;
+  if (text.size() % 4 != 0 || padding > 2 || text.find_first_not_of('=', read) != text.npos) {
+    return std::nullopt;
+  }
+  bytes.resize(written);
+  return bytes;
+}
+
+void AddTarget(const TargetId& id, const std::optional<std::string>& value, StoreReply& reply) {
+  const Result<TargetEntry> entry =
+      value ? DecodeTargetEntry(id, *value)
+            : Result<TargetEntry>(MakeError(ErrorKind::kMalformed, id.value(), "not base64"));
+  if (entry.has_value()) {
+    reply.changes.emplace_back(TargetReported{entry.value()});
+    return;
+  }
+  // An unreadable entry names no target.
+  reply.faults.push_back(entry.error());
+  reply.changes.emplace_back(TargetRemoved{id});
+}
+
+void AddCatalogue(const std::optional<std::string>& value, StoreReply& reply) {
+  const Result<CataloguePtr> catalogue =
+      value ? DecodeCatalogue(*value)
+            : Result<CataloguePtr>(
+                  MakeError(ErrorKind::kMalformed, std::string(kConfigurationKey), "not base64"));
+  if (catalogue.has_value()) {
+    reply.changes.emplace_back(CataloguePublished{catalogue.value()});
+  } else {
+    reply.faults.push_back(catalogue.error());
+  }
+}
+
+// Adds one item or event of an answer. Keys of other users are passed over.
+void AddItem(const json& object, StoreReply& reply) {
+  JsonReader item(object, "item");
+  const std::string key = item.String("key");
+  const bool deleted = item.Has("deleted");
+  std::optional<std::string> value;
+  if (!deleted) {
+    value = DecodeBase64(item.String("value"));
+  }
+  if (item.failed()) {
+    reply.faults.push_back(item.error());
+  } else if (key.starts_with(kTargetPrefix)) {
+    const TargetId id(key.substr(kTargetPrefix.size()));
+    if (deleted) {
+      reply.changes.emplace_back(TargetRemoved{id});
+    } else {
+      AddTarget(id, value, reply);
+    }
+  } else if (key.starts_with(kEvacuationPrefix)) {
+    reply.changes.emplace_back(
+        DataCentreDrain{DataCentreId(key.substr(kEvacuationPrefix.size())), !deleted});
+  } else if (key == kConfigurationKey && !deleted) {
+    AddCatalogue(value, reply);
+  }
+}
+
+Result<StoreReply> DecodeItems(const std::string& body, const char* list) {
+  const json document = json::parse(body, nullptr, /*allow_exceptions=*/false);
+  if (document.is_discarded()) {
+    return MakeError(ErrorKind::kMalformed, "store answer", "not JSON");
+  }
+  JsonReader reader(document, "store answer");
+  StoreReply reply;
+  reply.revision = StoreRevision(reader.NonNegative<std::uint64_t>("current_rev"));
+  const json& items = reader.Array(list);
+  if (reader.failed()) {
+    return reader.error();
+  }
+  for (const json& item : items) {
+    AddItem(item, reply);
+  }
+  const auto more = document.find("has_more");
+  if (more != document.end() && more->is_boolean() && more->get<bool>() && !items.empty()) {
+    reply.next_page = JsonReader(items.back(), "item").String("key");
+  }
+  return reply;
+}
+
+ErrorKind KindOfStatus(unsigned status) {
+  switch (status) {
+    case 410:
+      return ErrorKind::kStaleRevision;
+    case 429:
+      return ErrorKind::kShed;
+    default:
+      return ErrorKind::kUnavailable;
+  }
+}
+
+}  // namespace
+
+Result<StoreReply> DecodeRange(const std::string& body) {
+  return DecodeItems(body, "items");
+}
+
+Result<StoreReply> DecodeEvents(const std::string& body) {
+  return DecodeItems(body, "events");
+}
+
+StoreClient::StoreClient(boost::asio::io_context& context, Address address)
+    : context_(context), address_(std::move(address)) {}
+
+void StoreClient::List(const std::string& page, Callback done) {
+  http::Request request{"GET", "/api/kv-range", {{"path_prefix", ""}}, ""};
+  if (!page.empty()) {
+    request.query["after"] = page;
+  }
+  Call(std::move(request), kAnswerTime, &DecodeRange, std::move(done));
+}
+
+void StoreClient::Watch(StoreRevision after, milliseconds wait, Callback done) {
+  http::Request request{"GET",
+                        "/api/kv-watch",
+                        {{"path_prefix", ""},
+                         {"after", std::to_string(after.value())},
+                         {"wait_ms", std::to_string(wait.count())}},
+                        ""};
+  Call(std::move(request), wait + kAnswerTime, &DecodeEvents, std::move(done));
+}
+
+void StoreClient::Call(http::Request request,
+                       milliseconds timeout,
+                       Decoder decode,
+                       Callback done) {
+  if (connection_ != nullptr && connection_->IsIdleAndOpen()) {
+    Send(std::move(request), timeout, decode, std::move(done));
+    return;
+  }
+  connection_.reset(new http::ClientConnection(context_, address_, kMaxAnswerBytes));
+  connection_->Connect(kAnswerTime, [this, request = std::move(request), timeout, decode,
+                                     done = std::move(done)](const Result<void>& connected) mutable {
+    if (!connected.has_value()) {
+      connection_.reset();
+      done(connected.error());
+      return;
+    }
+    Send(std::move(request), timeout, decode, std::move(done));
+  });
+}
+
+void StoreClient::Send(http::Request request,
+                       milliseconds timeout,
+                       Decoder decode,
+                       Callback done) {
+  connection_->RoundTrip(
+      std::move(request), timeout,
+      [this, decode, done = std::move(done)](const std::optional<http::ClientError>& error,
+                                             const http::Response& response) {
+        if (error.has_value()) {
+          connection_.reset();
+          done(error->error);
+        } else if (response.status != 200) {
+          done(MakeError(KindOfStatus(response.status), "store",
+                         "status " + std::to_string(response.status)));
+        } else {
+          done(decode(response.body));
+        }
+      });
+}
+
+}  // namespace peridotfork::platform
--- a/src/program/daemon.cc
+++ b/src/program/daemon.cc
@@ -146,6 +146,7 @@
   const Result<void> started = service->Start();
   if (!started.has_value()) {
     log.Error("The start failed.", {{"error", ToString(started.error())}});
+    FlushLogging();
     pool.Stop();
     return kExitFailure;
   }
@@ -159,6 +160,7 @@
   service->Close();
   pool.Stop();
   log.Info("Stopped.", {{"drained", drained ? "yes" : "no"}});
+  FlushLogging();
   return drained ? kExitOk : kExitFailure;
 }
 
--- a/src/platform/host_list.cc
+++ b/src/publication/host_list.cc
@@ -1,4 +1,4 @@
-#include "peridotfork/platform/host_list.h"
+#include "peridotfork/publication/host_list.h"
 
 #include <nlohmann/json.hpp>
 #include <set>
--- a/src/platform/platform_reader.cc
+++ b/src/publication/platform_reader.cc
@@ -1,4 +1,4 @@
-#include "peridotfork/platform/platform_reader.h"
+#include "peridotfork/publication/platform_reader.h"
 
 #include <charconv>
 #include <utility>
--- a/src/routing/latency_tracker.cc
+++ b/src/routing/latency_tracker.cc
@@ -8,9 +8,12 @@
 void LatencyTracker::Observe(const TargetId& target,
                              const GroupId& group,
                              std::chrono::nanoseconds latency) {
-  const BootTime now = clock_.now();
-  targets_.Add(target, now, latency);
-  groups_.Add(group, now, latency);
+  targets_.Add(target, clock_.now(), latency);
+  ObserveGroup(group, latency);
+}
+
+void LatencyTracker::ObserveGroup(const GroupId& group, std::chrono::nanoseconds latency) {
+  groups_.Add(group, clock_.now(), latency);
 }
 
 std::optional<LatencyQuantiles> LatencyTracker::OfTarget(const TargetId& target) const {
--- a/src/runtime/log.cc
+++ b/src/runtime/log.cc
@@ -1,12 +1,18 @@
 #include "peridotfork/runtime/log.h"
 
 #include <array>
+#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/trivial.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/log/utility/setup/formatter_parser.hpp>
+#include <boost/make_shared.hpp>
 #include <iostream>
 #include <utility>
 
@@ -32,6 +38,11 @@
   return kLevels[static_cast<std::size_t>(level)].severity;
 }
 
+// Never waits for the stream that it writes to.
+using QueuedSink = logging::sinks::asynchronous_sink<
+    logging::sinks::text_ostream_backend,
+    logging::sinks::bounded_fifo_queue<kMaxQueuedLines, logging::sinks::drop_on_overflow>>;
+
 // Quotes a field that contains a space or a quote.
 std::string Quoted(const std::string& value) {
   if (!value.empty() && value.find_first_of(" \"\n\\") == std::string::npos) {
@@ -51,12 +62,19 @@
 
 void InitLogging(LogLevel level) {
   logging::add_common_attributes();
-  logging::add_console_log(std::clog,
-                           logging::keywords::format = "%TimeStamp% %Severity% %Message%",
-                           logging::keywords::auto_flush = true);
+  const auto backend = boost::make_shared<logging::sinks::text_ostream_backend>();
+  backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
+  backend->auto_flush(true);
+  const auto sink = boost::make_shared<QueuedSink>(backend);
+  sink->set_formatter(logging::parse_formatter("%TimeStamp% %Severity% %Message%"));
+  logging::core::get()->add_sink(sink);
   logging::core::get()->set_filter(logging::trivial::severity >= SeverityOf(level));
 }
 
+void FlushLogging() {
+  logging::core::get()->flush();
+}
+
 LogLevel LogLevelFromName(std::string_view name) {
   for (const LevelEntry& entry : kLevels) {
     if (entry.name == name) {
@@ -70,24 +88,31 @@
     : prefix_(std::move(prefix)), clock_(clock) {}
 
 void Logger::Debug(std::string_view sentence, Fields fields) {
-  Write(LogLevel::kDebug, sentence, fields);
+  Write(LogLevel::kDebug, sentence, fields, kUsual);
 }
 
 void Logger::Info(std::string_view sentence, Fields fields) {
-  Write(LogLevel::kInfo, sentence, fields);
+  Write(LogLevel::kInfo, sentence, fields, kUsual);
 }
 
 void Logger::Warning(std::string_view sentence, Fields fields) {
-  Write(LogLevel::kWarning, sentence, fields);
+  Write(LogLevel::kWarning, sentence, fields, kUsual);
 }
 
 void Logger::Error(std::string_view sentence, Fields fields) {
-  Write(LogLevel::kError, sentence, fields);
+  Write(LogLevel::kError, sentence, fields, kUsual);
+}
+
+void Logger::Request(std::string_view sentence, Fields fields) {
+  Write(LogLevel::kInfo, sentence, fields, {kRequestLinesPerSecond, std::chrono::seconds(1)});
 }
 
-void Logger::Write(LogLevel level, std::string_view sentence, Fields fields) {
+void Logger::Write(LogLevel level,
+                   std::string_view sentence,
+                   Fields fields,
+                   Allowance allowance) {
   std::uint32_t left_out = 0;
-  if (!Admit(sentence, &left_out)) {
+  if (!Admit(sentence, allowance, &left_out)) {
     return;
   }
   std::string line = prefix_ + ": ";
@@ -103,18 +128,18 @@
   BOOST_LOG_SEV(logging::trivial::logger::get(), SeverityOf(level)) << line;
 }
 
-bool Logger::Admit(std::string_view sentence, std::uint32_t* left_out) {
+bool Logger::Admit(std::string_view sentence, Allowance allowance, std::uint32_t* left_out) {
   const RankedLock lock(mutex_);
   auto window = windows_.find(sentence);
   if (window == windows_.end()) {
     window = windows_.emplace(std::string(sentence), Window{clock_.now()}).first;
   }
   Window& state = window->second;
-  if (clock_.now() - state.start >= kWindow) {
+  if (clock_.now() - state.start >= allowance.window) {
     *left_out = state.left_out;
     state = Window{clock_.now()};
   }
-  if (state.lines >= kLinesPerWindow) {
+  if (state.lines >= allowance.lines) {
     ++state.left_out;
     return false;
   }
--- /dev/null
+++ b/src/upstream/connection.cc
@@ -0,0 +1,267 @@
+#include "peridotfork/upstream/connection.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/http.hpp>
+#include <cerrno>
+#include <charconv>
+#include <utility>
+
+#include "peridotfork/http/client.h"
+#include "peridotfork/upstream/connection_pool.h"
+
+namespace peridotfork {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+
+// A target accepts within some milliseconds, or its queue of new connections is
+// full and the system would try again only after a second.
+constexpr std::chrono::milliseconds kConnectTimeout{350};
+// Idle connections without a time from the target are closed after this time,
+// and others this much before the target closes them.
+constexpr std::chrono::seconds kDefaultIdle{4};
+constexpr std::chrono::milliseconds kIdleMargin{700};
+constexpr std::size_t kReadSize = 16 * 1024;
+constexpr std::uint64_t kMaxAnswerBytes = std::uint64_t{16} << 20;
+
+// Time for which the target keeps an idle connection, from a field such as
+// "Keep-Alive: timeout=5, max=100".
+std::chrono::nanoseconds IdleTime(const http::RawResponse& response) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const auto field = response[bhttp::field::keep_alive];
+  const std::string_view text(field.data(), field.size());
+  const std::size_t at = text.find(kTimeout);
+  unsigned seconds = 0;
+  if (at == std::string_view::npos ||
+      std::from_chars(text.data() + at + kTimeout.size(), text.data() + text.size(), seconds).ec !=
+          std::errc()) {
+    return kDefaultIdle;
+  }
+  return std::max<std::chrono::nanoseconds>(std::chrono::seconds(seconds) - kIdleMargin,
+                                            std::chrono::nanoseconds(1));
+}
+
+}  // namespace
+
+Connection::Connection(asio::io_context& context, TargetPtr target, ConnectionPool& pool)
+    : strand_(asio::make_strand(context)),
+      socket_(strand_),
+      connect_timer_(strand_),
+      target_(std::move(target)),
+      pool_(pool) {}
+
+std::uint64_t Connection::Start(Exchange exchange) {
+  const std::uint64_t number = ++last_number_;
+  close_at_ = BootTime();
+  asio::post(strand_,
+             [self = ConnectionPtr(this), number, exchange = std::move(exchange)]() mutable {
+               self->exchange_ = std::move(exchange);
+               self->number_ = number;
+               if (self->connected_ && self->IsSilentAndOpen()) {
+                 self->Write();
+               } else {
+                 self->Connect();
+               }
+             });
+  return number;
+}
+
+void Connection::Abandon(std::uint64_t number, BootTime end) {
+  asio::post(strand_, [self = ConnectionPtr(this), number, end] {
+    if (self->exchange_ && self->number_ == number) {
+      self->close_at_ = end;
+      self->CloseIfOverdue();
+    }
+  });
+}
+
+void Connection::CloseIfOverdue() {
+  asio::dispatch(strand_, [self = ConnectionPtr(this)] {
+    const BootTime end = self->close_at_;
+    if (end != BootTime() && self->pool_.clock().now() >= end) {
+      self->Finish(ExchangeState::kAbandoned, "no answer was waited for");
+    }
+  });
+}
+
+void Connection::Connect() {
+  const auto endpoint = http::ParseEndpoint(target_->address());
+  if (!endpoint.has_value()) {
+    Finish(ExchangeState::kNotConnected, ToString(endpoint.error()));
+    return;
+  }
+  // A kept connection that has ended leaves its socket and bytes behind.
+  beast::error_code ignored;
+  socket_.close(ignored);
+  connected_ = false;
+  buffer_.clear();
+  connect_timer_.expires_after(kConnectTimeout);
+  connect_timer_.async_wait([self = ConnectionPtr(this)](const beast::error_code& error) {
+    if (!error && !self->connected_) {
+      self->Finish(ExchangeState::kNotConnected, "the connect timed out");
+    }
+  });
+  socket_.async_connect(
+      endpoint.value(),
+      [self = ConnectionPtr(this)](const beast::error_code& error) { self->OnConnected(error); });
+}
+
+void Connection::OnConnected(const beast::error_code& error) {
+  connect_timer_.cancel();
+  if (!exchange_) {
+    return;
+  }
+  if (error) {
+    Finish(ExchangeState::kNotConnected, error.message());
+    return;
+  }
+  connected_ = true;
+  beast::error_code ignored;
+  socket_.set_option(Tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
+  http::EnableDeadPeerDetection(socket_);
+  Write();
+}
+
+void Connection::Write() {
+  bhttp::async_write(socket_, exchange_->request,
+                     [self = ConnectionPtr(this)](const beast::error_code& error, std::size_t) {
+                       if (!self->exchange_) {
+                         return;
+                       }
+                       if (error) {
+                         self->Finish(ExchangeState::kLost, error.message());
+                       } else {
+                         self->parser_.emplace();
+                         self->parser_->body_limit(kMaxAnswerBytes);
+                         self->WaitForBytes();
+                       }
+                     });
+}
+
+void Connection::WaitForBytes() {
+  socket_.async_wait(Tcp::socket::wait_read,
+                     [self = ConnectionPtr(this)](const beast::error_code& error) {
+                       if (!self->exchange_) {
+                         return;
+                       }
+                       if (error) {
+                         self->Finish(ExchangeState::kLost, error.message());
+                       } else {
+                         self->ReadBytes();
+                       }
+                     });
+}
+
+void Connection::ReadBytes() {
+  beast::error_code error;
+  const std::size_t count = socket_.read_some(buffer_.prepare(kReadSize), error);
+  buffer_.commit(count);
+  if (error == asio::error::would_block) {
+    WaitForBytes();
+    return;
+  }
+  if (error == asio::error::eof) {
+    OnEof();
+    return;
+  }
+  if (error) {
+    Finish(ExchangeState::kLost, error.message());
+    return;
+  }
+  while (exchange_ && buffer_.size() > 0) {
+    const std::size_t used = parser_->put(buffer_.data(), error);
+    buffer_.consume(used);
+    if (error == bhttp::error::need_more) {
+      break;
+    }
+    if (error) {
+      Finish(ExchangeState::kLost, error.message());
+      return;
+    }
+    if (parser_->is_done()) {
+      OnMessage();
+    } else if (used == 0) {
+      break;
+    }
+  }
+  if (exchange_) {
+    WaitForBytes();
+  }
+}
+
+void Connection::OnEof() {
+  beast::error_code error;
+  reusable_ = false;
+  if (parser_->got_some()) {
+    parser_->put_eof(error);
+    if (!error && parser_->is_done()) {
+      OnMessage();
+    }
+  }
+  if (exchange_) {
+    Finish(ExchangeState::kLost, "the target closed the connection");
+  }
+}
+
+void Connection::OnMessage() {
+  http::RawResponse response = parser_->release();
+  parser_.reset();
+  if (!exchange_->matches(response)) {
+    // A second answer to an earlier request; this one's may follow.
+    reusable_ = false;
+    parser_.emplace();
+    parser_->body_limit(kMaxAnswerBytes);
+    return;
+  }
+  reusable_ = reusable_ && response.keep_alive() && buffer_.size() == 0;
+  ExchangeResult result{ExchangeState::kAnswered, std::move(response), {}};
+  if (!reusable_) {
+    Close();
+    Deliver(std::move(result));
+    return;
+  }
+  // Free for the next exchange before the answer is handled.
+  auto done = std::move(exchange_->done);
+  exchange_.reset();
+  close_at_ = pool_.clock().now() + IdleTime(result.response);
+  pool_.Return(*this);
+  done(std::move(result));
+}
+
+void Connection::Finish(ExchangeState state, std::string detail) {
+  Close();
+  Deliver({state, {}, std::move(detail)});
+}
+
+void Connection::Deliver(ExchangeResult result) {
+  if (!exchange_) {
+    return;
+  }
+  auto done = std::move(exchange_->done);
+  exchange_.reset();
+  done(std::move(result));
+}
+
+void Connection::Close() {
+  const ConnectionPtr self(this);
+  pool_.Remove(*this);
+  beast::error_code ignored;
+  connect_timer_.cancel();
+  socket_.close(ignored);
+}
+
+bool Connection::IsSilentAndOpen() {
+  char byte = 0;
+  const ssize_t count = recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+}  // namespace peridotfork
