Keep the request alive for its write; reload settings on SIGHUP

Ruled out: the log thread and the session list; both were idle at the crash. Change: the connection owns the request until the next one; sessions are held by the gateway until they close; the daemon reloads on SIGHUP and compares the settings file every 2 s.

--- a/include/peridotfork/gateway/caller_session.h
+++ b/include/peridotfork/gateway/caller_session.h
@@ -6,7 +6,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <cstddef>
@@ -45,16 +44,13 @@
   virtual bool draining() const = 0;
 };
 
-// One connection of a caller: one request at a time. Lives while it has an
-// operation under way.
-class CallerSession : public boost::intrusive_ref_counter<CallerSession>,
-                      public boost::intrusive::list_base_hook<> {
+// One connection of a caller: one request at a time.
+class CallerSession : public boost::intrusive_ref_counter<CallerSession> {
  public:
   using Tcp = boost::asio::ip::tcp;
 
-  // `on_end` is called when the session is destroyed.
+  // `on_end` is called once, when the connection is closed.
   CallerSession(Tcp::socket socket, RequestSink& sink, std::function<void(CallerSession&)> on_end);
-  ~CallerSession();
 
   void Run();
 
@@ -99,6 +95,8 @@
   bool closed_ = false;
 };
 
+using CallerSessionPtr = boost::intrusive_ptr<CallerSession>;
+
 }  // namespace peridotfork
 
 #endif  // PERIDOTFORK_GATEWAY_CALLER_SESSION_H_
--- a/include/peridotfork/gateway/gateway.h
+++ b/include/peridotfork/gateway/gateway.h
@@ -3,11 +3,11 @@
 
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/intrusive/list.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
-#include <unordered_map>
+#include <set>
+#include <vector>
 
 #include "peridotfork/balance/target_table.h"
 #include "peridotfork/catalogue/catalogue.h"
@@ -64,6 +64,7 @@
 
   Result<void> Listen();
   void Accept();
+  void OpenSession(Tcp::socket socket);
   void OnDirectory(const FleetDirectory& directory);
   std::vector<ServiceId> ServicesOf(const Route& route);
   void CloseIdleSessions();
@@ -90,7 +91,7 @@
   CataloguePtr catalogue_;
 
   mutable RankedMutex sessions_mutex_{LockRank::kQueries};
-  boost::intrusive::list<CallerSession, boost::intrusive::constant_time_size<true>> sessions_;
+  std::set<CallerSessionPtr> sessions_;
 };
 
 }  // namespace peridotfork
--- a/include/peridotfork/program/daemon.h
+++ b/include/peridotfork/program/daemon.h
@@ -28,6 +28,10 @@
 
   virtual Result<void> Start() = 0;
 
+  // The settings file has changed to this text. A text with faults changes
+  // nothing. Called between Start() and BeginDrain().
+  virtual Result<void> Reload(const std::string& settings);
+
   // Begins the planned stop: no new work is taken. Called once, after Start().
   virtual void BeginDrain() = 0;
 
@@ -77,6 +81,7 @@
 // Runs the service until SIGTERM or SIGINT, drains it, and ends.
 int RunService(const HostSettings& settings,
                const ProgramInfo& info,
+               const std::string& settings_path,
                const std::function<std::unique_ptr<Service>(const DaemonContext&)>& make);
 
 template <typename Settings>
@@ -118,7 +123,7 @@
     std::cout << arguments.config_path << ": ok\n";
     return kExitOk;
   }
-  return internal::RunService(settings.value(), info, [&settings](const DaemonContext& context) {
+  return internal::RunService(settings.value(), info, arguments.config_path, [&settings](const DaemonContext& context) {
     return std::make_unique<ServiceType>(context, settings.value());
   });
 }
--- a/include/peridotfork/upstream/connection.h
+++ b/include/peridotfork/upstream/connection.h
@@ -98,6 +98,8 @@
 
   // Used on the strand only.
   std::optional<Exchange> exchange_;
+  // Outlives the exchange, since a write of it may still be under way.
+  http::RawRequest request_;
   std::uint64_t number_ = 0;
   bool connected_ = false;
   bool reusable_ = true;
--- a/src/gateway/caller_session.cc
+++ b/src/gateway/caller_session.cc
@@ -44,10 +44,6 @@
   http::EnableDeadPeerDetection(stream_.socket());
 }
 
-CallerSession::~CallerSession() {
-  on_end_(*this);
-}
-
 void CallerSession::Run() {
   asio::dispatch(stream_.get_executor(), [self = Self()] { self->WaitForRequest(); });
 }
@@ -224,6 +220,7 @@
   ErrorCode ignored;
   stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
   stream_.close();
+  on_end_(*this);
 }
 
 }  // namespace peridotfork
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -108,21 +108,25 @@
           return;
         }
         if (!error) {
-          boost::intrusive_ptr<CallerSession> session(
-              new CallerSession(std::move(socket), *this, [this](CallerSession& ended) {
-                const RankedLock lock(sessions_mutex_);
-                sessions_.erase(sessions_.iterator_to(ended));
-              }));
-          {
-            const RankedLock lock(sessions_mutex_);
-            sessions_.push_back(*session);
-          }
-          session->Run();
+          OpenSession(std::move(socket));
         }
         Accept();
       });
 }
 
+void Gateway::OpenSession(Tcp::socket socket) {
+  const CallerSessionPtr session(
+      new CallerSession(std::move(socket), *this, [this](CallerSession& ended) {
+        const RankedLock lock(sessions_mutex_);
+        sessions_.erase(CallerSessionPtr(&ended));
+      }));
+  {
+    const RankedLock lock(sessions_mutex_);
+    sessions_.insert(session);
+  }
+  session->Run();
+}
+
 void Gateway::BeginDrain() {
   draining_ = true;
   context_.pool.After(kAcceptWhileDraining, [this] {
@@ -136,14 +140,12 @@
 }
 
 void Gateway::CloseIdleSessions() {
-  std::vector<boost::intrusive_ptr<CallerSession>> sessions;
+  std::set<CallerSessionPtr> sessions;
   {
     const RankedLock lock(sessions_mutex_);
-    for (CallerSession& session : sessions_) {
-      sessions.emplace_back(&session);
-    }
+    sessions = sessions_;
   }
-  for (const auto& session : sessions) {
+  for (const CallerSessionPtr& session : sessions) {
     session->CloseIfIdle();
   }
 }
--- a/src/program/daemon.cc
+++ b/src/program/daemon.cc
@@ -4,15 +4,24 @@
 #include <pthread.h>
 #include <signal.h>
 
+#include <algorithm>
 #include <array>
 #include <condition_variable>
 #include <fstream>
 #include <sstream>
 #include <utility>
 
-namespace peridotfork::internal {
+namespace peridotfork {
+
+Result<void> Service::Reload(const std::string& /*settings*/) {
+  return boost::outcome_v2::success();
+}
+
+namespace internal {
 namespace {
 
+// How often the settings file is compared, for changes without a signal.
+constexpr std::chrono::seconds kSettingsPoll{2};
 // How often the main thread looks whether the drain has ended.
 constexpr std::chrono::milliseconds kDrainPoll{20};
 
@@ -42,15 +51,53 @@
   return static_cast<LogLevel>(threshold);
 }
 
-// Waits for a stop signal, for `timeout` at the longest if there is one.
-bool WaitForSignal(const sigset_t& signals, std::optional<std::chrono::milliseconds> timeout) {
-  if (!timeout.has_value()) {
-    int signal = 0;
-    return sigwait(&signals, &signal) == 0;
-  }
+// Waits for a signal for `timeout` at the longest; 0 if none came.
+int WaitForSignal(const sigset_t& signals, std::chrono::milliseconds timeout) {
+  const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(timeout);
   timespec time{};
-  time.tv_nsec = std::chrono::nanoseconds(*timeout).count();
-  return sigtimedwait(&signals, nullptr, &time) > 0;
+  time.tv_sec = seconds.count();
+  time.tv_nsec = std::chrono::nanoseconds(timeout - seconds).count();
+  return std::max(0, sigtimedwait(&signals, nullptr, &time));
+}
+
+// Hands a changed text of the settings to the service.
+void ReloadIfChanged(const std::string& path,
+                     std::string* known,
+                     bool announced,
+                     Service& service,
+                     Logger& log) {
+  const Result<std::string> text = ReadFile(path);
+  if (!text.has_value()) {
+    log.Warning("The settings can't be read; they stay as they are.",
+                {{"error", ToString(text.error())}});
+    return;
+  }
+  const bool changed = text.value() != *known;
+  if (!changed && !announced) {
+    return;
+  }
+  *known = text.value();
+  const Result<void> reloaded = service.Reload(text.value());
+  if (reloaded.has_value()) {
+    log.Info("The settings were reloaded.", {{"changed", changed ? "yes" : "no"}});
+  } else {
+    log.Error("The new settings are refused.", {{"error", ToString(reloaded.error())}});
+  }
+}
+
+// Until a stop signal comes.
+void ServeUntilStop(const std::string& path,
+                    const sigset_t& signals,
+                    Service& service,
+                    Logger& log) {
+  std::string known = ReadFile(path).has_value() ? ReadFile(path).value() : std::string();
+  for (;;) {
+    const int signal = WaitForSignal(signals, kSettingsPoll);
+    if (signal == SIGTERM || signal == SIGINT) {
+      return;
+    }
+    ReloadIfChanged(path, &known, signal == SIGHUP, service, log);
+  }
 }
 
 // True if the work ended within the time; false also after a second signal.
@@ -60,18 +107,20 @@
                   const sigset_t& signals) {
   const BootTime end = clock.now() + timeout;
   while (!service.drained()) {
-    if (clock.now() >= end || WaitForSignal(signals, kDrainPoll)) {
+    const int signal = WaitForSignal(signals, kDrainPoll);
+    if (clock.now() >= end || signal == SIGTERM || signal == SIGINT) {
       return false;
     }
   }
   return true;
 }
 
-sigset_t BlockStopSignals() {
+sigset_t BlockSignals() {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   signal(SIGPIPE, SIG_IGN);
   return signals;
@@ -135,8 +184,9 @@
 
 int RunService(const HostSettings& settings,
                const ProgramInfo& info,
+               const std::string& settings_path,
                const std::function<std::unique_ptr<Service>(const DaemonContext&)>& make) {
-  const sigset_t signals = BlockStopSignals();
+  const sigset_t signals = BlockSignals();
   InitLogging(ToLogLevel(settings.log_level));
   const SystemClock clock;
   Logger log(info.prefix, clock);
@@ -153,7 +203,7 @@
   log.Info("Started.", {{"host", settings.id.value()},
                         {"http", settings.http_address.value()},
                         {"incarnation", std::to_string(incarnation)}});
-  WaitForSignal(signals, std::nullopt);
+  ServeUntilStop(settings_path, signals, *service, log);
   log.Info("A planned stop begins.");
   service->BeginDrain();
   const bool drained = WaitForDrain(*service, clock, settings.drain_timeout, signals);
@@ -164,4 +214,5 @@
   return drained ? kExitOk : kExitFailure;
 }
 
-}  // namespace peridotfork::internal
+}  // namespace internal
+}  // namespace peridotfork
--- a/src/upstream/connection.cc
+++ b/src/upstream/connection.cc
@@ -62,6 +62,7 @@
   close_at_ = BootTime();
   asio::post(strand_,
              [self = ConnectionPtr(this), number, exchange = std::move(exchange)]() mutable {
+               self->request_ = std::move(exchange.request);
                self->exchange_ = std::move(exchange);
                self->number_ = number;
                if (self->connected_ && self->IsSilentAndOpen()) {
@@ -131,7 +132,7 @@
 }
 
 void Connection::Write() {
-  bhttp::async_write(socket_, exchange_->request,
+  bhttp::async_write(socket_, request_,
                      [self = ConnectionPtr(this)](const beast::error_code& error, std::size_t) {
                        if (!self->exchange_) {
                          return;
