Prefer local targets more; watch the store longer

Change: remote cost 0.6 -> 1.5 of the usual time; watch 3 s -> 5 s; changes within 400 ms share a call.

--- a/include/peridotfork/balance/target_score.h
+++ b/include/peridotfork/balance/target_score.h
@@ -11,7 +11,7 @@
 struct ScoreOptions {
   // Added for a target of another data centre, in multiples of the usual time:
   // a local target is left once its queue costs as much.
-  double remote_cost = 0.6;
+  double remote_cost = 1.5;
   // Cost of a certain failure, in multiples of the usual time.
   double failure_cost = 6;
   // An attempt that waits for this multiple of the usual time marks its target
--- a/include/peridotfork/discovery/store_follower.h
+++ b/include/peridotfork/discovery/store_follower.h
@@ -22,10 +22,10 @@
 struct FollowerOptions {
   // How long the store holds a watch. A watch whose connection went silent is
   // noticed after this time.
-  std::chrono::milliseconds watch{3000};
+  std::chrono::milliseconds watch{5000};
   // Pause between an answer with changes and the next watch, so that changes in
   // quick succession share a call.
-  std::chrono::milliseconds settle{100};
+  std::chrono::milliseconds settle{400};
   // Pause after a failure; doubled for each further one.
   std::chrono::milliseconds first_pause{100};
   std::chrono::milliseconds longest_pause{800};
