Send to a suspect when no other target is left

Ruled out: the connection share (5) and the cold limit were not reached. Change: a second choice among suspects within their slots; a misdirected target stays out, with a flag of its own.

--- a/include/peridotfork/balance/target.h
+++ b/include/peridotfork/balance/target.h
@@ -62,6 +62,8 @@
   TargetEntry entry;
   // The entry or the operators say that it takes no new work.
   bool closed = false;
+  // Another target has the address now; a new incarnation gets a new condition.
+  bool misdirected = false;
   Rate cold_rate{0};
   Connections connection_share{1};
   BootTime cold_until;
--- a/include/peridotfork/balance/target_score.h
+++ b/include/peridotfork/balance/target_score.h
@@ -35,6 +35,9 @@
 // Whether the target may take one more request now.
 bool MayTakeWork(const TargetCondition& condition, BootTime now);
 
+// Whether a suspect may take one more request because no other target can.
+bool MayTakeLastResort(const TargetCondition& condition, BootTime now);
+
 // Updates the condition with the end of `attempt`.
 void RecordEnd(TargetCondition& condition,
                const Attempt& attempt,
--- a/include/peridotfork/balance/target_table.h
+++ b/include/peridotfork/balance/target_table.h
@@ -87,6 +87,10 @@
   void Open(TargetCondition& condition, const TargetEntry& entry, const Catalogue* catalogue);
   std::chrono::nanoseconds UsualTime(const Route& route) const;
   Target* Best(const ServiceTargets& service, const PickRequest& request, BootTime now) const;
+  Target* BestAmong(const ServiceTargets& service,
+                    const PickRequest& request,
+                    BootTime now,
+                    bool (*may_take)(const TargetCondition&, BootTime)) const;
 
   const Clock& clock_;
   const DataCentreId self_;
--- a/src/balance/target_score.cc
+++ b/src/balance/target_score.cc
@@ -16,9 +16,6 @@
 // How long a suspect is left alone; doubled for each further loss.
 constexpr std::chrono::milliseconds kFirstSuspicion{250};
 constexpr std::uint32_t kMaxSuspicionDoublings = 3;
-// An entry with an address that another target took over is left alone until it
-// is removed or replaced.
-constexpr std::chrono::seconds kMisdirectedPause{30};
 // A cold target that bears less than one request a second for each host gets
 // one in this time: the platform's tolerance covers five in a second over all
 // hosts.
@@ -40,6 +37,19 @@
   return std::max(own, reported * Decay(condition.load_at, now, options.load_half_life) + own / 2);
 }
 
+// Whether a cold target may get one more request.
+bool ColdAllows(const TargetCondition& condition, BootTime now) {
+  if (now >= condition.cold_until) {
+    return true;
+  }
+  std::chrono::nanoseconds interval = kColdInterval;
+  if (const double rate = condition.cold_rate.value() / kColdSharers; rate > 0) {
+    interval = std::min(
+        interval, std::chrono::duration_cast<std::chrono::nanoseconds>(Seconds(1 / rate)));
+  }
+  return now - condition.last_cold_send >= interval;
+}
+
 void Suspect(TargetCondition& condition, BootTime now) {
   const std::uint32_t doublings =
       std::min(condition.losses_in_row - kLossesToSuspect, kMaxSuspicionDoublings);
@@ -92,23 +102,17 @@
 }
 
 bool MayTakeWork(const TargetCondition& condition, BootTime now) {
-  if (condition.closed) {
+  if (condition.closed || condition.misdirected || !ColdAllows(condition, now)) {
     return false;
   }
-  if (condition.losses_in_row >= kLossesToSuspect) {
-    // One probe at a time once the suspicion is over.
-    return now >= condition.suspect_until && condition.open_attempts.empty();
-  }
-  if (now < condition.cold_until) {
-    const double rate = condition.cold_rate.value() / kColdSharers;
-    const auto interval = rate > 0
-                              ? std::min<std::chrono::nanoseconds>(
-                                    kColdInterval, std::chrono::duration_cast<std::chrono::nanoseconds>(
-                                                       Seconds(1 / rate)))
-                              : std::chrono::nanoseconds(kColdInterval);
-    return now - condition.last_cold_send >= interval;
-  }
-  return true;
+  // A suspect gets one probe at a time once the suspicion is over.
+  return condition.losses_in_row < kLossesToSuspect ||
+         (now >= condition.suspect_until && condition.open_attempts.empty());
+}
+
+bool MayTakeLastResort(const TargetCondition& condition, BootTime now) {
+  return !condition.closed && !condition.misdirected && ColdAllows(condition, now) &&
+         condition.open_attempts.size() < condition.entry.slots.value();
 }
 
 void RecordEnd(TargetCondition& condition,
@@ -133,8 +137,7 @@
       condition.losses_in_row = 0;
       break;
     case AttemptEnd::kMisdirected:
-      condition.losses_in_row = kLossesToSuspect;
-      condition.suspect_until = now + kMisdirectedPause;
+      condition.misdirected = true;
       break;
     case AttemptEnd::kNotConnected:
       fail(1);
--- a/src/balance/target_table.cc
+++ b/src/balance/target_table.cc
@@ -170,12 +170,24 @@
 Target* TargetTable::Best(const ServiceTargets& service,
                           const PickRequest& request,
                           BootTime now) const {
+  for (const auto may_take : {&MayTakeWork, &MayTakeLastResort}) {
+    if (Target* const best = BestAmong(service, request, now, may_take)) {
+      return best;
+    }
+  }
+  return nullptr;
+}
+
+Target* TargetTable::BestAmong(const ServiceTargets& service,
+                               const PickRequest& request,
+                               BootTime now,
+                               bool (*may_take)(const TargetCondition&, BootTime)) const {
   const std::chrono::nanoseconds usual = UsualTime(*request.route);
   Target* best = nullptr;
   double best_score = 0;
   for (const TargetPtr& target : service.targets) {
     const TargetCondition& condition = target->condition;
-    if (!MayTakeWork(condition, now) || WasTried(request.tried, *target) ||
+    if (!may_take(condition, now) || WasTried(request.tried, *target) ||
         condition.open_attempts.size() >= condition.connection_share.value()) {
       continue;
     }
