--- a/include/peridotfork/balance/target.h
+++ b/include/peridotfork/balance/target.h
@@ -64,10 +64,12 @@
   bool closed = false;
   // Another target has the address now; a new incarnation gets a new condition.
   bool misdirected = false;
-  Rate cold_rate{0};
   Connections connection_share{1};
   BootTime cold_until;
-  BootTime last_cold_send;
+  // Time between two requests of this host to the cold target; none if the target
+  // has no limit of its own.
+  std::optional<std::chrono::nanoseconds> cold_interval;
+  BootTime next_cold_send;
   // Time of answers as a multiple of the usual one, smoothed.
   double slowness = 1;
   BootTime slowness_at;
--- a/include/peridotfork/balance/target_score.h
+++ b/include/peridotfork/balance/target_score.h
@@ -35,7 +35,8 @@
 // Whether the target may take one more request now.
 bool MayTakeWork(const TargetCondition& condition, BootTime now);
 
-// Whether a suspect may take one more request because no other target can.
+// Whether a suspect, or a cold target without a limit, may take one more request
+// because no other target can.
 bool MayTakeLastResort(const TargetCondition& condition, BootTime now);
 
 // Updates the condition with the end of `attempt`.
--- a/include/peridotfork/balance/target_table.h
+++ b/include/peridotfork/balance/target_table.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <span>
+#include <string>
 #include <vector>
 
 #include "peridotfork/balance/target.h"
@@ -27,6 +28,9 @@
   double hedge_reserve = 2;
   // Hosts among which the connections to a target are divided.
   std::uint32_t connection_sharers = 6;
+  // Hosts among which the rate of a cold target is divided: more than the largest
+  // deployment has, since hosts do not know how many they are.
+  double cold_sharers = 40;
   // Hedge delay: this quantile of the usual times, or this share of the
   // objective if it comes first; not before the floor.
   double hedge_objective_share = 0.36;
@@ -48,7 +52,10 @@
 // budgets of extra attempts, and the usual times of the routes. Thread-safe.
 class TargetTable {
  public:
-  TargetTable(const Clock& clock, DataCentreId self, BalanceOptions options = {});
+  TargetTable(const Clock& clock,
+              const HostId& host,
+              DataCentreId self,
+              BalanceOptions options = {});
 
   // Takes over the state of the directory. A target that started anew is a new
   // target; attempts on targets that are gone go on.
@@ -85,6 +92,7 @@
 
   ServiceTargets& Service(const ServiceId& id);
   void Open(TargetCondition& condition, const TargetEntry& entry, const Catalogue* catalogue);
+  void BeginCold(TargetCondition& condition);
   std::chrono::nanoseconds UsualTime(const Route& route) const;
   Target* Best(const ServiceTargets& service, const PickRequest& request, BootTime now) const;
   Target* BestAmong(const ServiceTargets& service,
@@ -93,6 +101,7 @@
                     bool (*may_take)(const TargetCondition&, BootTime)) const;
 
   const Clock& clock_;
+  const std::string host_;
   const DataCentreId self_;
   const BalanceOptions options_;
   mutable RankedMutex mutex_{LockRank::kTargets};
--- a/include/peridotfork/gateway/gateway.h
+++ b/include/peridotfork/gateway/gateway.h
@@ -46,6 +46,7 @@
   // Address on which callers are accepted.
   Address ingress_address() const;
   Address status_address() const { return status_server_.address(); }
+  Address metrics_address() const { return metrics_server_.address(); }
 
  private:
   using Tcp = boost::asio::ip::tcp;
--- a/include/peridotfork/metrics/metrics.h
+++ b/include/peridotfork/metrics/metrics.h
@@ -32,8 +32,8 @@
 class Histogram {
  public:
   // Upper bounds of the buckets in milliseconds; the last bucket has none.
-  static constexpr std::array<double, 14> kBounds = {1,   2,   5,   10,  20,   40,   60,
-                                                     80,  120, 200, 400, 800, 1600, 3200};
+  static constexpr std::array<double, 14> kBounds = {1,  2,   5,   10,  20,  40,   60,
+                                                     80, 120, 200, 400, 800, 1600, 3200};
 
   void Observe(std::chrono::nanoseconds time);
 
@@ -61,7 +61,9 @@
   static constexpr std::size_t kMaxSeries = 64;
 
   // `labels` is empty or has the form key="value",...
-  Counter& CounterOf(const std::string& name, const std::string& help, const std::string& labels = "");
+  Counter& CounterOf(const std::string& name,
+                     const std::string& help,
+                     const std::string& labels = "");
   Histogram& HistogramOf(const std::string& name,
                          const std::string& help,
                          const std::string& labels = "");
--- a/include/peridotfork/program/daemon.h
+++ b/include/peridotfork/program/daemon.h
@@ -123,9 +123,10 @@
     std::cout << arguments.config_path << ": ok\n";
     return kExitOk;
   }
-  return internal::RunService(settings.value(), info, arguments.config_path, [&settings](const DaemonContext& context) {
-    return std::make_unique<ServiceType>(context, settings.value());
-  });
+  return internal::RunService(settings.value(), info, arguments.config_path,
+                              [&settings](const DaemonContext& context) {
+                                return std::make_unique<ServiceType>(context, settings.value());
+                              });
 }
 
 }  // namespace peridotfork
--- a/include/peridotfork/upstream/connection.h
+++ b/include/peridotfork/upstream/connection.h
@@ -1,6 +1,7 @@
 #ifndef PERIDOTFORK_UPSTREAM_CONNECTION_H_
 #define PERIDOTFORK_UPSTREAM_CONNECTION_H_
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -9,7 +10,6 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
-#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <functional>
--- a/include/peridotfork/upstream/connection_pool.h
+++ b/include/peridotfork/upstream/connection_pool.h
@@ -1,9 +1,9 @@
 #ifndef PERIDOTFORK_UPSTREAM_CONNECTION_POOL_H_
 #define PERIDOTFORK_UPSTREAM_CONNECTION_POOL_H_
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
-#include <atomic>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
--- a/src/balance/target_score.cc
+++ b/src/balance/target_score.cc
@@ -16,12 +16,6 @@
 // How long a suspect is left alone; doubled for each further loss.
 constexpr std::chrono::milliseconds kFirstSuspicion{250};
 constexpr std::uint32_t kMaxSuspicionDoublings = 3;
-// A cold target that bears less than one request a second for each host gets
-// one in this time: the platform's tolerance covers five in a second over all
-// hosts.
-constexpr std::chrono::milliseconds kColdInterval{1100};
-// Hosts among which the rate of a cold target is divided.
-constexpr double kColdSharers = 8;
 
 double Decay(BootTime since, BootTime now, std::chrono::nanoseconds half_life) {
   return std::exp2(-std::max(0.0, Seconds(now - since) / Seconds(half_life)));
@@ -37,17 +31,14 @@
   return std::max(own, reported * Decay(condition.load_at, now, options.load_half_life) + own / 2);
 }
 
-// Whether a cold target may get one more request.
+// Whether the limit of a cold target allows one more request.
 bool ColdAllows(const TargetCondition& condition, BootTime now) {
-  if (now >= condition.cold_until) {
-    return true;
-  }
-  std::chrono::nanoseconds interval = kColdInterval;
-  if (const double rate = condition.cold_rate.value() / kColdSharers; rate > 0) {
-    interval = std::min(
-        interval, std::chrono::duration_cast<std::chrono::nanoseconds>(Seconds(1 / rate)));
-  }
-  return now - condition.last_cold_send >= interval;
+  return now >= condition.cold_until || !condition.cold_interval || now >= condition.next_cold_send;
+}
+
+// Whether the target is cold without a limit of its own.
+bool IsColdWithoutLimit(const TargetCondition& condition, BootTime now) {
+  return now < condition.cold_until && !condition.cold_interval;
 }
 
 void Suspect(TargetCondition& condition, BootTime now) {
@@ -83,8 +74,8 @@
   const double slowness = 1 + (condition.slowness - 1) * fresh;
   const double slots = std::max(1U, condition.entry.slots.value());
   const double backlog = Backlog(condition, now, options);
-  double score = std::max(0.3, slowness) * (1 + std::max(0.0, backlog + 1 - slots) / slots +
-                                            0.3 * backlog / slots);
+  double score = std::max(0.3, slowness) *
+                 (1 + std::max(0.0, backlog + 1 - slots) / slots + 0.3 * backlog / slots);
   score += condition.failure_rate * fresh * options.failure_cost;
   if (condition.entry.data_centre != self) {
     score += options.remote_cost;
@@ -102,7 +93,8 @@
 }
 
 bool MayTakeWork(const TargetCondition& condition, BootTime now) {
-  if (condition.closed || condition.misdirected || !ColdAllows(condition, now)) {
+  if (condition.closed || condition.misdirected || !ColdAllows(condition, now) ||
+      IsColdWithoutLimit(condition, now)) {
     return false;
   }
   // A suspect gets one probe at a time once the suspicion is over.
--- a/src/balance/target_table.cc
+++ b/src/balance/target_table.cc
@@ -1,6 +1,7 @@
 #include "peridotfork/balance/target_table.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace peridotfork {
@@ -18,6 +19,11 @@
   return std::chrono::duration_cast<std::chrono::nanoseconds>(time * factor);
 }
 
+std::chrono::nanoseconds FromSeconds(double seconds) {
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(
+      std::chrono::duration<double>(seconds));
+}
+
 GroupId RouteKey(const Route& route) {
   return {ServiceId(route.id.value()), GroupIndex(0)};
 }
@@ -34,8 +40,15 @@
 
 }  // namespace
 
-TargetTable::TargetTable(const Clock& clock, DataCentreId self, BalanceOptions options)
-    : clock_(clock), self_(std::move(self)), options_(options), route_times_(clock) {}
+TargetTable::TargetTable(const Clock& clock,
+                         const HostId& host,
+                         DataCentreId self,
+                         BalanceOptions options)
+    : clock_(clock),
+      host_(host.value()),
+      self_(std::move(self)),
+      options_(options),
+      route_times_(clock) {}
 
 void TargetTable::Update(const std::vector<TargetEntry>& entries,
                          const std::set<DataCentreId>& drained,
@@ -80,16 +93,14 @@
   }
   AttemptPtr attempt(new Attempt(TargetPtr(best), now));
   attempt->usual = UsualTime(*request.route);
-  if (now < best->condition.cold_until) {
-    best->condition.last_cold_send = now;
+  if (best->condition.cold_interval) {
+    best->condition.next_cold_send = now + *best->condition.cold_interval;
   }
   best->condition.open_attempts.push_back(*attempt);
   return attempt;
 }
 
-void TargetTable::Finish(Attempt& attempt,
-                         AttemptEnd end,
-                         const std::optional<LoadReport>& load) {
+void TargetTable::Finish(Attempt& attempt, AttemptEnd end, const std::optional<LoadReport>& load) {
   const RankedLock lock(mutex_);
   if (!std::exchange(attempt.open, false)) {
     return;
@@ -120,9 +131,8 @@
   const RankedLock lock(mutex_);
   const auto found = services_.find(service);
   return found != services_.end() &&
-         std::ranges::any_of(found->second.targets, [](const TargetPtr& target) {
-           return !target->condition.closed;
-         });
+         std::ranges::any_of(found->second.targets,
+                             [](const TargetPtr& target) { return !target->condition.closed; });
 }
 
 std::size_t TargetTable::ConnectionShare(const Target& target) const {
@@ -146,19 +156,36 @@
 void TargetTable::Open(TargetCondition& condition,
                        const TargetEntry& entry,
                        const Catalogue* catalogue) {
-  const bool repeated = condition.entry.sequence == entry.sequence && condition.cold_until > BootTime();
+  const bool repeated = condition.entry.sequence == entry.sequence;
   condition.entry = entry;
-  if (entry.cold_left.count() > 0 && !repeated) {
-    condition.cold_until = clock_.now() + entry.cold_left;
+  if (catalogue != nullptr) {
+    const auto service = catalogue->services().find(entry.service);
+    if (service != catalogue->services().end()) {
+      const double rate = service->second.cold_rate.value() / options_.cold_sharers;
+      condition.cold_interval.reset();
+      if (rate > 0) {
+        condition.cold_interval = FromSeconds(1 / rate);
+      }
+      condition.connection_share = Connections(
+          std::max(2U, service->second.max_connections.value() / options_.connection_sharers));
+    }
   }
-  if (catalogue == nullptr) {
-    return;
+  if (entry.cold_left.count() > 0 && (!repeated || condition.cold_until == BootTime())) {
+    BeginCold(condition);
   }
-  const auto service = catalogue->services().find(entry.service);
-  if (service != catalogue->services().end()) {
-    condition.cold_rate = service->second.cold_rate;
-    condition.connection_share = Connections(std::max(
-        2U, service->second.max_connections.value() / options_.connection_sharers));
+}
+
+void TargetTable::BeginCold(TargetCondition& condition) {
+  const BootTime now = clock_.now();
+  const bool was_cold = now < condition.cold_until;
+  condition.cold_until = now + condition.entry.cold_left;
+  if (condition.cold_interval && !was_cold) {
+    // Each host begins at a time of its own, so that their sends don't coincide.
+    constexpr std::size_t kPhases = 1024;
+    const std::size_t phase =
+        std::hash<std::string>{}(host_ + condition.entry.id.value()) % kPhases;
+    condition.next_cold_send =
+        now + Scale(*condition.cold_interval, static_cast<double>(phase) / kPhases);
   }
 }
 
--- a/src/fanout/fan_out.cc
+++ b/src/fanout/fan_out.cc
@@ -120,8 +120,8 @@
 }
 
 bool FanOut::may_have_run() const {
-  return std::ranges::any_of(
-      shards_, [](const Shard& shard) { return shard.ran > 0 || shard.open > 0; });
+  return std::ranges::any_of(shards_,
+                             [](const Shard& shard) { return shard.ran > 0 || shard.open > 0; });
 }
 
 std::size_t FanOut::required() const {
--- a/src/gateway/caller_session.cc
+++ b/src/gateway/caller_session.cc
@@ -93,10 +93,9 @@
 
 void CallerSession::ReadHeader() {
   stream_.expires_after(sink_.limits().header_timeout);
-  bhttp::async_read_header(stream_, buffer_, *parser_,
-                           [self = Self()](const ErrorCode& error, std::size_t) {
-                             self->OnHeader(error);
-                           });
+  bhttp::async_read_header(
+      stream_, buffer_, *parser_,
+      [self = Self()](const ErrorCode& error, std::size_t) { self->OnHeader(error); });
 }
 
 void CallerSession::OnHeader(const ErrorCode& error) {
@@ -155,10 +154,9 @@
   stream_.expires_never();
   RequestRunnerPtr runner = sink_.Handle(
       std::move(request), request_start_, [self = Self()](http::RawResponse response) mutable {
-        asio::post(self->stream_.get_executor(),
-                   [self, response = std::move(response)]() mutable {
-                     self->Write(std::move(response), self->keep_alive_);
-                   });
+        asio::post(self->stream_.get_executor(), [self, response = std::move(response)]() mutable {
+          self->Write(std::move(response), self->keep_alive_);
+        });
       });
   if (runner != nullptr) {
     runner_ = runner;
@@ -168,9 +166,8 @@
 }
 
 void CallerSession::WatchForClose() {
-  stream_.socket().async_wait(Tcp::socket::wait_read, [self = Self()](const ErrorCode& error) {
-    self->OnReadable(error);
-  });
+  stream_.socket().async_wait(Tcp::socket::wait_read,
+                              [self = Self()](const ErrorCode& error) { self->OnReadable(error); });
 }
 
 void CallerSession::OnReadable(const ErrorCode& error) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -32,10 +32,10 @@
       settings_(settings),
       edge_(std::move(edge)),
       request_log_(metrics_, context.log),
-      targets_(context.clock, settings.data_centre),
+      targets_(context.clock, settings.id, settings.data_centre),
       connections_(context.pool, context.clock),
-      runner_context_{context.pool.context(), context.clock, *edge_.codec, targets_, connections_,
-                      request_log_},
+      runner_context_{context.pool.context(), context.clock, *edge_.codec, targets_,
+                      connections_,           request_log_},
       follower_(context.pool,
                 context.clock,
                 *edge_.store,
@@ -101,17 +101,16 @@
 }
 
 void Gateway::Accept() {
-  acceptor_.async_accept(
-      asio::make_strand(context_.pool.context()),
-      [this](const boost::system::error_code& error, Tcp::socket socket) {
-        if (error == asio::error::operation_aborted || !accepting_) {
-          return;
-        }
-        if (!error) {
-          OpenSession(std::move(socket));
-        }
-        Accept();
-      });
+  acceptor_.async_accept(asio::make_strand(context_.pool.context()),
+                         [this](const boost::system::error_code& error, Tcp::socket socket) {
+                           if (error == asio::error::operation_aborted || !accepting_) {
+                             return;
+                           }
+                           if (!error) {
+                             OpenSession(std::move(socket));
+                           }
+                           Accept();
+                         });
 }
 
 void Gateway::OpenSession(Tcp::socket socket) {
@@ -188,10 +187,9 @@
   }
   routed.route = routed.catalogue->FindRoute(routed.ingress.host, routed.ingress.path);
   if (routed.route == nullptr) {
-    return refuse(404,
-                  MakeError(ErrorKind::kUnknownName, "route",
-                            routed.ingress.host + routed.ingress.path),
-                  std::nullopt);
+    return refuse(
+        404, MakeError(ErrorKind::kUnknownName, "route", routed.ingress.host + routed.ingress.path),
+        std::nullopt);
   }
   if (in_flight_ >= settings_.max_in_flight) {
     return refuse(503, MakeError(ErrorKind::kShed, "gateway", "too many requests in flight"),
--- a/src/gateway/request_log.cc
+++ b/src/gateway/request_log.cc
@@ -60,12 +60,13 @@
 
 void RequestLog::OnRefused(const RequestId& id, unsigned status, const Error& error) {
   metrics_
-      .CounterOf("peridotfork_refused_total", "Requests refused before a route was found, by status.",
+      .CounterOf("peridotfork_refused_total",
+                 "Requests refused before a route was found, by status.",
                  "status=\"" + std::to_string(status) + "\"")
       .Add();
-  log_.Request("The request was refused.", {{"request", id.value()},
-                                            {"status", std::to_string(status)},
-                                            {"error", ToString(error)}});
+  log_.Request(
+      "The request was refused.",
+      {{"request", id.value()}, {"status", std::to_string(status)}, {"error", ToString(error)}});
 }
 
 }  // namespace peridotfork
--- a/src/gateway/request_runner.cc
+++ b/src/gateway/request_runner.cc
@@ -56,8 +56,8 @@
   plan.hedge_delay = targets.HedgeDelay(route);
   plan.settle_at = request.start + route.objective - kCallerTransit;
   plan.place_until = request.start + Scale(route.objective, kPlaceShare);
-  plan.give_up_at = request.start +
-                    std::min<std::chrono::nanoseconds>(patience, route.timeout) - kGiveUpMargin;
+  plan.give_up_at =
+      request.start + std::min<std::chrono::nanoseconds>(patience, route.timeout) - kGiveUpMargin;
   return plan;
 }
 
@@ -124,8 +124,7 @@
 void RequestRunner::Send(const FanOut::Wish& wish, BootTime now) {
   Shard& shard = shards_[wish.shard];
   const ServiceId& service = request_.services[wish.shard];
-  AttemptPtr attempt =
-      context_.targets.Pick({request_.route, service, wish.purpose, shard.tried});
+  AttemptPtr attempt = context_.targets.Pick({request_.route, service, wish.purpose, shard.tried});
   if (attempt == nullptr) {
     fan_out_.OnNoTarget(wish, now);
     return;
@@ -142,10 +141,8 @@
       fan_out_.plan().give_up_at + kGiveUpMargin - kTargetMargin - now);
   context_.codec.Address(exchange.request, attempt->target->id(),
                          std::max(time_left, milliseconds(1)));
-  exchange.matches = [&codec = context_.codec,
-                      id = request_.ingress.id](const http::RawResponse& response) {
-    return codec.Matches(response, id);
-  };
+  exchange.matches = [&codec = context_.codec, id = request_.ingress.id](
+                         const http::RawResponse& response) { return codec.Matches(response, id); };
   exchange.done = [self = boost::intrusive_ptr(this), index = wish.shard,
                    attempt](ExchangeResult result) {
     self->OnExchange(index, attempt, std::move(result));
@@ -161,14 +158,14 @@
                                ExchangeResult result) {
   const RankedLock lock(mutex_);
   Shard& shard = shards_[index];
-  std::erase_if(shard.sendings,
-                [&](const Sending& sending) { return sending.attempt == attempt; });
+  std::erase_if(shard.sendings, [&](const Sending& sending) { return sending.attempt == attempt; });
   AttemptResult ended = AttemptResult::kMayHaveRun;
   if (result.state == ExchangeState::kAnswered) {
     ended = TakeAnswer(index, *attempt, context_.codec.DecodeAnswer(std::move(result.response)));
   } else {
     const AttemptEnd end = caller_gone_ ? AttemptEnd::kCancelled : EndOf(result.state);
-    ended = result.state == ExchangeState::kNotConnected ? AttemptResult::kNotRun : AttemptResult::kMayHaveRun;
+    ended = result.state == ExchangeState::kNotConnected ? AttemptResult::kNotRun
+                                                         : AttemptResult::kMayHaveRun;
     context_.targets.Finish(*attempt, end, std::nullopt);
     last_fault_ = EndName(end);
     context_.log.OnAttempt(request_.ingress.id, EndName(end), request_.services[index],
@@ -224,14 +221,13 @@
   }
   armed_for_ = wake;
   timer_.expires_after(std::max(wake - context_.clock.now(), std::chrono::nanoseconds(0)));
-  timer_.async_wait(
-      [self = boost::intrusive_ptr(this)](const boost::system::error_code& error) {
-        if (!error) {
-          const RankedLock lock(self->mutex_);
-          self->armed_for_ = BootTime();
-          self->Advance();
-        }
-      });
+  timer_.async_wait([self = boost::intrusive_ptr(this)](const boost::system::error_code& error) {
+    if (!error) {
+      const RankedLock lock(self->mutex_);
+      self->armed_for_ = BootTime();
+      self->Advance();
+    }
+  });
 }
 
 void RequestRunner::Conclude(FanOutOutcome outcome) {
@@ -255,9 +251,8 @@
     case FanOutOutcome::kRefused:
       return context_.codec.EncodeFault(
           503, MakeError(ErrorKind::kUnavailable, where, "no target can take the request now"),
-          std::max(kMinRetryAfter,
-                   std::chrono::duration_cast<milliseconds>(
-                       Scale(route.objective, kRetryAfterShare))));
+          std::max(kMinRetryAfter, std::chrono::duration_cast<milliseconds>(
+                                       Scale(route.objective, kRetryAfterShare))));
     case FanOutOutcome::kFailed:
       if (!route.gather && failure_) {
         return context_.codec.Encode(std::move(*failure_));
--- a/src/metrics/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -43,11 +43,12 @@
   for (std::size_t i = 0; i < buckets_.size(); ++i) {
     cumulative += buckets_[i];
     const std::string bound = i < kBounds.size() ? Number(kBounds[i]) : "+Inf";
-    out += name + "_bucket{" + prefix + "le=\"" + bound + "\"} " + std::to_string(cumulative) + "\n";
+    out +=
+        name + "_bucket{" + prefix + "le=\"" + bound + "\"} " + std::to_string(cumulative) + "\n";
   }
   out += name + "_sum" + Braces(labels) + " " + Number(accumulators::sum(summary_)) + "\n";
-  out += name + "_count" + Braces(labels) + " " + std::to_string(accumulators::count(summary_)) +
-         "\n";
+  out +=
+      name + "_count" + Braces(labels) + " " + std::to_string(accumulators::count(summary_)) + "\n";
 }
 
 template <typename Metric>
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -153,30 +153,25 @@
   Call(std::move(request), wait + kAnswerTime, &DecodeEvents, std::move(done));
 }
 
-void StoreClient::Call(http::Request request,
-                       milliseconds timeout,
-                       Decoder decode,
-                       Callback done) {
+void StoreClient::Call(http::Request request, milliseconds timeout, Decoder decode, Callback done) {
   if (connection_ != nullptr && connection_->IsIdleAndOpen()) {
     Send(std::move(request), timeout, decode, std::move(done));
     return;
   }
   connection_.reset(new http::ClientConnection(context_, address_, kMaxAnswerBytes));
-  connection_->Connect(kAnswerTime, [this, request = std::move(request), timeout, decode,
-                                     done = std::move(done)](const Result<void>& connected) mutable {
-    if (!connected.has_value()) {
-      connection_.reset();
-      done(connected.error());
-      return;
-    }
-    Send(std::move(request), timeout, decode, std::move(done));
-  });
+  connection_->Connect(kAnswerTime,
+                       [this, request = std::move(request), timeout, decode,
+                        done = std::move(done)](const Result<void>& connected) mutable {
+                         if (!connected.has_value()) {
+                           connection_.reset();
+                           done(connected.error());
+                           return;
+                         }
+                         Send(std::move(request), timeout, decode, std::move(done));
+                       });
 }
 
-void StoreClient::Send(http::Request request,
-                       milliseconds timeout,
-                       Decoder decode,
-                       Callback done) {
+void StoreClient::Send(http::Request request, milliseconds timeout, Decoder decode, Callback done) {
   connection_->RoundTrip(
       std::move(request), timeout,
       [this, decode, done = std::move(done)](const std::optional<http::ClientError>& error,
--- a/src/runtime/log.cc
+++ b/src/runtime/log.cc
@@ -107,10 +107,7 @@
   Write(LogLevel::kInfo, sentence, fields, {kRequestLinesPerSecond, std::chrono::seconds(1)});
 }
 
-void Logger::Write(LogLevel level,
-                   std::string_view sentence,
-                   Fields fields,
-                   Allowance allowance) {
+void Logger::Write(LogLevel level, std::string_view sentence, Fields fields, Allowance allowance) {
   std::uint32_t left_out = 0;
   if (!Admit(sentence, allowance, &left_out)) {
     return;
--- /dev/null
+++ b/test/balance/target_table_test.cc
@@ -0,0 +1,259 @@
+#include "peridotfork/balance/target_table.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <random>
+
+namespace peridotfork {
+namespace {
+
+using std::chrono::milliseconds;
+
+const ServiceId kService("s");
+
+TargetEntry Entry(const std::string& id, const std::string& data_centre) {
+  TargetEntry entry;
+  entry.id = TargetId(id);
+  entry.service = kService;
+  entry.address = Address("10.0.0.1:1");
+  entry.data_centre = DataCentreId(data_centre);
+  entry.slots = Slots(3);
+  entry.started_ms = 1;
+  return entry;
+}
+
+Route MakeRoute() {
+  Route route;
+  route.id = RouteId("r");
+  route.objective = milliseconds(120);
+  route.max_attempts = 2;
+  route.services = {{kService, 1}};
+  return route;
+}
+
+class Fixture {
+ public:
+  explicit Fixture(double cold_rate = 0, const std::string& host = "h1")
+      : table(clock, HostId(host), DataCentreId("here")),
+        catalogue_(
+            new Catalogue(Revision(1), {}, {{kService, Connections(31), Rate(cold_rate)}}, {})) {}
+
+  void Update(const std::vector<TargetEntry>& entries, const std::set<DataCentreId>& drained = {}) {
+    table.Update(entries, drained, catalogue_.get());
+  }
+
+  AttemptPtr Pick(AttemptPurpose purpose = AttemptPurpose::kFirst,
+                  std::span<const AttemptPtr> tried = {}) {
+    return table.Pick({&route, kService, purpose, tried});
+  }
+
+  // Name of the target of the next attempt, which is answered at once.
+  std::string PickName() {
+    const AttemptPtr attempt = Pick();
+    if (attempt == nullptr) {
+      return "none";
+    }
+    table.Finish(*attempt, AttemptEnd::kCancelled, std::nullopt);
+    return attempt->target->id().value();
+  }
+
+  ManualClock clock;
+  const Route route = MakeRoute();
+  TargetTable table;
+
+ private:
+  const CataloguePtr catalogue_;
+};
+
+TEST_CASE("the target of the own data centre is preferred") {
+  Fixture fixture;
+  fixture.Update({Entry("far", "there"), Entry("near", "here")});
+  CHECK(fixture.PickName() == "near");
+}
+
+TEST_CASE("work leaves a target of the own data centre that stalls") {
+  Fixture fixture;
+  fixture.Update({Entry("far", "there"), Entry("near", "here")});
+  const AttemptPtr stalled = fixture.Pick();
+  CHECK(stalled->target->id() == TargetId("near"));
+  fixture.clock.Advance(milliseconds(60));
+  CHECK(fixture.PickName() == "far");
+  fixture.table.Finish(*stalled, AttemptEnd::kAnswered, std::nullopt);
+}
+
+TEST_CASE("draining targets and those of drained data centres get nothing") {
+  Fixture fixture;
+  TargetEntry leaving = Entry("leaving", "here");
+  leaving.draining = true;
+  fixture.Update({leaving, Entry("drained", "there")}, {DataCentreId("there")});
+  CHECK(fixture.PickName() == "none");
+  CHECK_FALSE(fixture.table.HasTargets(kService));
+  fixture.Update({leaving, Entry("drained", "there")});
+  CHECK(fixture.PickName() == "drained");
+}
+
+TEST_CASE("a target that can't be reached is left alone and probed later") {
+  Fixture fixture;
+  fixture.Update({Entry("far", "there"), Entry("near", "here")});
+  const AttemptPtr failed = fixture.Pick();
+  fixture.table.Finish(*failed, AttemptEnd::kNotConnected, std::nullopt);
+  CHECK(fixture.PickName() == "far");
+  fixture.clock.Advance(std::chrono::seconds(8));
+  CHECK(fixture.PickName() == "near");
+}
+
+TEST_CASE("a suspect is used when nothing else is left") {
+  Fixture fixture;
+  fixture.Update({Entry("near", "here")});
+  const AttemptPtr failed = fixture.Pick();
+  fixture.table.Finish(*failed, AttemptEnd::kNotConnected, std::nullopt);
+  CHECK(fixture.PickName() == "near");
+}
+
+TEST_CASE("an address that another target took over gets nothing until its target starts anew") {
+  Fixture fixture;
+  fixture.Update({Entry("near", "here")});
+  fixture.table.Finish(*fixture.Pick(), AttemptEnd::kMisdirected, std::nullopt);
+  fixture.clock.Advance(std::chrono::hours(1));
+  CHECK(fixture.PickName() == "none");
+  TargetEntry again = Entry("near", "here");
+  again.started_ms = 2;
+  fixture.Update({again});
+  CHECK(fixture.PickName() == "near");
+}
+
+TEST_CASE("extra attempts stay within their budget") {
+  Fixture fixture;
+  fixture.Update({Entry("a", "here"), Entry("b", "here"), Entry("c", "there")});
+  std::uint32_t extra = 0;
+  constexpr int kRequests = 1000;
+  for (int i = 0; i < kRequests; ++i) {
+    const AttemptPtr first = fixture.Pick();
+    const std::vector<AttemptPtr> tried{first};
+    if (const AttemptPtr retry = fixture.Pick(AttemptPurpose::kRetry, tried)) {
+      CHECK(retry->target != first->target);
+      ++extra;
+      fixture.table.Finish(*retry, AttemptEnd::kCancelled, std::nullopt);
+    }
+    fixture.table.Finish(*first, AttemptEnd::kCancelled, std::nullopt);
+  }
+  // Five hosts together stay under the platform's fifth and its slack of 54.
+  CHECK(extra <= 0.17 * kRequests + 54.0 / 5);
+  CHECK(extra >= 0.16 * kRequests);
+}
+
+TEST_CASE("hedges leave a reserve of the budget to retries") {
+  Fixture fixture;
+  fixture.Update({Entry("a", "here"), Entry("b", "here")});
+  const std::vector<AttemptPtr> tried{fixture.Pick()};
+  while (const AttemptPtr hedge = fixture.Pick(AttemptPurpose::kHedge, tried)) {
+    fixture.table.Finish(*hedge, AttemptEnd::kCancelled, std::nullopt);
+  }
+  const AttemptPtr retry = fixture.Pick(AttemptPurpose::kRetry, tried);
+  REQUIRE(retry != nullptr);
+  fixture.table.Finish(*retry, AttemptEnd::kCancelled, std::nullopt);
+  fixture.table.Finish(*tried.front(), AttemptEnd::kCancelled, std::nullopt);
+}
+
+TEST_CASE("cold targets with a limit get no more from many hosts than the platform tolerates") {
+  for (const int count : {4, 8, 34}) {
+    for (const double cold_rate : {0.5, 1.0, 8.0, 40.0}) {
+      CAPTURE(count);
+      CAPTURE(cold_rate);
+      std::vector<int> sent(3000);
+      for (int i = 0; i < count; ++i) {
+        Fixture host(cold_rate, "h" + std::to_string(i));
+        TargetEntry cold = Entry("cold", "here");
+        cold.cold_left = milliseconds(3000);
+        host.Update({cold});
+        for (int& ms : sent) {
+          if (const AttemptPtr attempt = host.Pick()) {
+            ++ms;
+            host.table.Finish(*attempt, AttemptEnd::kCancelled, std::nullopt);
+          }
+          host.clock.Advance(milliseconds(1));
+        }
+      }
+      int window = 0;
+      int most = 0;
+      for (std::size_t ms = 0; ms < sent.size(); ++ms) {
+        window += sent[ms] - (ms >= 1000 ? sent[ms - 1000] : 0);
+        most = std::max(most, window);
+      }
+      CHECK(most <= cold_rate * 1.5 + 5);
+    }
+  }
+}
+
+TEST_CASE("a cold target without a limit is used when nothing else is left") {
+  Fixture fixture;
+  TargetEntry cold = Entry("cold", "here");
+  cold.cold_left = milliseconds(3000);
+  fixture.Update({cold, Entry("far", "there")});
+  CHECK(fixture.PickName() == "far");
+  fixture.Update({cold});
+  CHECK(fixture.PickName() == "cold");
+  fixture.Update({cold, Entry("far", "there")});
+  fixture.clock.Advance(milliseconds(3001));
+  CHECK(fixture.PickName() == "cold");
+}
+
+TEST_CASE("an attempt that outlives its target ends without harm") {
+  Fixture fixture;
+  fixture.Update({Entry("near", "here")});
+  const AttemptPtr attempt = fixture.Pick();
+  fixture.Update({});
+  CHECK(fixture.PickName() == "none");
+  fixture.table.Finish(*attempt, AttemptEnd::kAnswered, std::nullopt);
+  fixture.table.Finish(*attempt, AttemptEnd::kLost, std::nullopt);
+  CHECK(fixture.table.size() == 0);
+}
+
+TEST_CASE("no choice is closed, tried or over its share, whatever happens") {
+  for (unsigned seed = 0; seed < 300; ++seed) {
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    Fixture fixture;
+    std::vector<TargetEntry> entries;
+    for (int i = 0; i < 5; ++i) {
+      entries.push_back(Entry(std::to_string(i), random() % 2 == 0 ? "here" : "there"));
+    }
+    fixture.Update(entries);
+    std::vector<AttemptPtr> open;
+    std::map<Target*, std::size_t> load;
+    for (int step = 0; step < 300; ++step) {
+      fixture.clock.Advance(milliseconds(random() % 40));
+      if (random() % 10 == 0) {
+        entries[random() % entries.size()].draining = random() % 2 == 0;
+        fixture.Update(entries);
+      }
+      if (random() % 2 == 0 || open.empty()) {
+        const auto purpose = static_cast<AttemptPurpose>(random() % 3);
+        const std::vector<AttemptPtr> tried(open.begin(),
+                                            open.begin() + std::min<long>(2, std::ssize(open)));
+        const AttemptPtr attempt = fixture.Pick(purpose, tried);
+        if (attempt == nullptr) {
+          continue;
+        }
+        CHECK_FALSE(attempt->target->condition.closed);
+        for (const AttemptPtr& earlier : tried) {
+          CHECK(earlier->target != attempt->target);
+        }
+        CHECK(++load[attempt->target.get()] <= fixture.table.ConnectionShare(*attempt->target));
+        open.push_back(attempt);
+      } else {
+        const std::size_t at = random() % open.size();
+        --load[open[at]->target.get()];
+        fixture.table.Finish(*open[at], static_cast<AttemptEnd>(random() % 8), std::nullopt);
+        open.erase(open.begin() + static_cast<std::ptrdiff_t>(at));
+      }
+    }
+    for (const AttemptPtr& attempt : open) {
+      fixture.table.Finish(*attempt, AttemptEnd::kCancelled, std::nullopt);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace peridotfork
--- /dev/null
+++ b/test/discovery/fleet_directory_test.cc
@@ -0,0 +1,128 @@
+#include "peridotfork/discovery/fleet_directory.h"
+
+#include <doctest/doctest.h>
+
+namespace peridotfork {
+namespace {
+
+using std::chrono::milliseconds;
+
+TargetEntry Entry(const std::string& id, std::uint64_t started, std::uint64_t sequence) {
+  TargetEntry entry;
+  entry.id = TargetId(id);
+  entry.service = ServiceId("s");
+  entry.started_ms = started;
+  entry.sequence = sequence;
+  return entry;
+}
+
+CataloguePtr Version(std::uint64_t version) {
+  return CataloguePtr(new Catalogue(Revision(version), {}, {}, {}));
+}
+
+TEST_CASE("a configuration never goes back") {
+  const ManualClock clock;
+  FleetDirectory directory(clock);
+  directory.Apply({CataloguePublished{Version(5)}});
+  directory.Apply({CataloguePublished{Version(4)}});
+  CHECK(directory.catalogue()->version() == Revision(5));
+  directory.Replace({CataloguePublished{Version(3)}});
+  CHECK(directory.catalogue()->version() == Revision(5));
+  directory.Apply({CataloguePublished{Version(9)}});
+  CHECK(directory.catalogue()->version() == Revision(9));
+}
+
+TEST_CASE("an older report of a target changes nothing") {
+  const ManualClock clock;
+  FleetDirectory directory(clock);
+  TargetEntry draining = Entry("a", 100, 7);
+  draining.draining = true;
+  directory.Apply({TargetReported{draining}});
+  directory.Apply({TargetReported{Entry("a", 100, 6)}});
+  CHECK(directory.targets().front().draining);
+  directory.Apply({TargetReported{Entry("a", 90, 50)}});
+  CHECK(directory.targets().front().draining);
+}
+
+TEST_CASE("a target that started again under its id counts anew") {
+  const ManualClock clock;
+  FleetDirectory directory(clock);
+  directory.Apply({TargetReported{Entry("a", 100, 7)}});
+  directory.Apply({TargetReported{Entry("a", 200, 1)}});
+  CHECK(directory.targets().front().started_ms == 200U);
+}
+
+TEST_CASE("a removed target is gone at once") {
+  const ManualClock clock;
+  FleetDirectory directory(clock);
+  directory.Apply({TargetReported{Entry("a", 1, 1)}, TargetReported{Entry("b", 1, 1)}});
+  directory.Apply({TargetRemoved{TargetId("a")}});
+  REQUIRE(directory.targets().size() == 1);
+  CHECK(directory.targets().front().id == TargetId("b"));
+}
+
+TEST_CASE("entries that lapsed during an outage are kept until their targets can report") {
+  ManualClock clock;
+  FleetDirectory directory(clock);
+  directory.Apply({TargetReported{Entry("a", 1, 1)}, TargetReported{Entry("b", 1, 1)}});
+  directory.OnStoreReturned();
+  directory.Apply({TargetRemoved{TargetId("a")}, TargetRemoved{TargetId("b")}});
+  CHECK(directory.targets().size() == 2);
+  clock.Advance(milliseconds(1000));
+  directory.Apply({TargetReported{Entry("a", 1, 2)}});
+  CHECK_FALSE(directory.DropLapsed());
+  REQUIRE(directory.next_lapse());
+  clock.Advance(FleetDirectory::kLapseGrace);
+  CHECK(directory.DropLapsed());
+  REQUIRE(directory.targets().size() == 1);
+  CHECK(directory.targets().front().id == TargetId("a"));
+  CHECK_FALSE(directory.next_lapse());
+}
+
+TEST_CASE("the removal of many targets at once is taken for a lapse") {
+  ManualClock clock;
+  FleetDirectory directory(clock);
+  std::vector<StoreChange> reports;
+  std::vector<StoreChange> removals;
+  for (int i = 0; i < 10; ++i) {
+    reports.emplace_back(TargetReported{Entry(std::to_string(i), 1, 1)});
+    removals.emplace_back(TargetRemoved{TargetId(std::to_string(i))});
+  }
+  directory.Apply(reports);
+  directory.Apply(removals);
+  CHECK(directory.targets().size() == 10);
+  clock.Advance(FleetDirectory::kLapseGrace);
+  CHECK(directory.DropLapsed());
+  CHECK(directory.targets().empty());
+}
+
+TEST_CASE("draining targets that are removed together are gone at once") {
+  const ManualClock clock;
+  FleetDirectory directory(clock);
+  std::vector<StoreChange> reports;
+  std::vector<StoreChange> removals;
+  for (int i = 0; i < 10; ++i) {
+    TargetEntry entry = Entry(std::to_string(i), 1, 1);
+    entry.draining = true;
+    reports.emplace_back(TargetReported{entry});
+    removals.emplace_back(TargetRemoved{entry.id});
+  }
+  directory.Apply(reports);
+  directory.Apply(removals);
+  CHECK(directory.targets().empty());
+}
+
+TEST_CASE("a listing replaces targets and drains") {
+  const ManualClock clock;
+  FleetDirectory directory(clock);
+  directory.Apply({TargetReported{Entry("a", 1, 1)}, DataCentreDrain{DataCentreId("x"), true}});
+  directory.Replace({TargetReported{Entry("b", 1, 1)}, DataCentreDrain{DataCentreId("y"), true}});
+  REQUIRE(directory.targets().size() == 1);
+  CHECK(directory.targets().front().id == TargetId("b"));
+  CHECK(directory.drained() == std::set<DataCentreId>{DataCentreId("y")});
+  directory.Apply({DataCentreDrain{DataCentreId("y"), false}});
+  CHECK(directory.drained().empty());
+}
+
+}  // namespace
+}  // namespace peridotfork
--- /dev/null
+++ b/test/discovery/store_follower_test.cc
@@ -0,0 +1,146 @@
+#include "peridotfork/discovery/store_follower.h"
+
+#include <doctest/doctest.h>
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+
+namespace peridotfork {
+namespace {
+
+using std::chrono::milliseconds;
+
+StoreReply Reply(std::uint64_t revision, std::vector<StoreChange> changes = {}) {
+  StoreReply reply;
+  reply.revision = StoreRevision(revision);
+  reply.changes = std::move(changes);
+  return reply;
+}
+
+StoreChange Target(const std::string& id) {
+  TargetEntry entry;
+  entry.id = TargetId(id);
+  return TargetReported{entry};
+}
+
+// Gives the scripted answers in turn; then watches never answer.
+class ScriptedStore final : public MetadataStore {
+ public:
+  explicit ScriptedStore(WorkerPool& pool) : pool_(pool) {}
+
+  void Add(Result<StoreReply> reply) { script_.push_back(std::move(reply)); }
+
+  void List(const std::string& page, Callback done) override {
+    Answer("list " + page, std::move(done));
+  }
+  void Watch(StoreRevision after, milliseconds, Callback done) override {
+    Answer("watch " + std::to_string(after.value()), std::move(done));
+  }
+
+  // Waits until so many calls have been made.
+  std::vector<std::string> WaitForCalls(std::size_t count) {
+    std::unique_lock lock(mutex_);
+    CHECK(
+        changed_.wait_for(lock, std::chrono::seconds(10), [&] { return calls_.size() >= count; }));
+    return calls_;
+  }
+
+ private:
+  void Answer(std::string call, Callback done) {
+    const std::lock_guard lock(mutex_);
+    calls_.push_back(std::move(call));
+    changed_.notify_all();
+    if (script_.empty()) {
+      return;
+    }
+    pool_.Post([done = std::move(done), reply = std::move(script_.front())]() mutable {
+      done(std::move(reply));
+    });
+    script_.pop_front();
+  }
+
+  WorkerPool& pool_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::deque<Result<StoreReply>> script_;
+  std::vector<std::string> calls_;
+};
+
+constexpr FollowerOptions kQuick{.watch = milliseconds(100),
+                                 .settle = milliseconds(1),
+                                 .first_pause = milliseconds(1),
+                                 .longest_pause = milliseconds(4)};
+
+struct Fixture {
+  std::vector<std::string> Run(std::size_t calls) {
+    follower.Start();
+    const std::vector<std::string> made = store.WaitForCalls(calls);
+    follower.Stop();
+    pool.Stop();
+    return made;
+  }
+
+  SystemClock clock;
+  Logger log{"test", clock};
+  WorkerPool pool{1};
+  ScriptedStore store{pool};
+  std::vector<std::size_t> sizes;
+  StoreFollower follower{
+      pool,
+      clock,
+      store,
+      log,
+      [this](const FleetDirectory& directory) { sizes.push_back(directory.targets().size()); },
+      kQuick};
+};
+
+TEST_CASE("a watch goes on from the first page of a listing") {
+  Fixture fixture;
+  StoreReply first = Reply(10, {Target("a")});
+  first.next_page = "servers/a";
+  fixture.store.Add(first);
+  fixture.store.Add(Reply(12, {Target("b")}));
+  fixture.store.Add(Reply(13, {Target("c")}));
+  const auto calls = fixture.Run(4);
+  CHECK(calls == std::vector<std::string>{"list ", "list servers/a", "watch 10", "watch 13"});
+  CHECK(fixture.sizes == std::vector<std::size_t>{2, 3});
+}
+
+TEST_CASE("a lost history leads to a new listing, which drops what it does not name") {
+  Fixture fixture;
+  fixture.store.Add(Reply(10, {Target("a"), Target("b")}));
+  fixture.store.Add(MakeError(ErrorKind::kStaleRevision));
+  fixture.store.Add(Reply(40, {Target("b")}));
+  const auto calls = fixture.Run(4);
+  CHECK(calls == std::vector<std::string>{"list ", "watch 10", "list ", "watch 40"});
+  CHECK(fixture.sizes == std::vector<std::size_t>{2, 1});
+}
+
+TEST_CASE("failures are retried from where the watch was") {
+  Fixture fixture;
+  fixture.store.Add(MakeError(ErrorKind::kUnavailable));
+  fixture.store.Add(Reply(10, {Target("a")}));
+  fixture.store.Add(MakeError(ErrorKind::kTimedOut));
+  fixture.store.Add(MakeError(ErrorKind::kShed));
+  fixture.store.Add(Reply(11));
+  const auto calls = fixture.Run(6);
+  CHECK(calls ==
+        std::vector<std::string>{"list ", "list ", "watch 10", "watch 10", "watch 10", "watch 11"});
+  CHECK(fixture.follower.failures() == 3);
+}
+
+TEST_CASE("a listing that fails midway begins anew") {
+  Fixture fixture;
+  StoreReply first = Reply(10, {Target("a")});
+  first.next_page = "servers/a";
+  fixture.store.Add(first);
+  fixture.store.Add(MakeError(ErrorKind::kTransport));
+  fixture.store.Add(Reply(20, {Target("b")}));
+  const auto calls = fixture.Run(4);
+  CHECK(calls == std::vector<std::string>{"list ", "list servers/a", "list ", "watch 20"});
+  CHECK(fixture.sizes == std::vector<std::size_t>{1});
+}
+
+}  // namespace
+}  // namespace peridotfork
--- /dev/null
+++ b/test/gateway/gateway_test.cc
@@ -0,0 +1,486 @@
+#include "peridotfork/gateway/gateway.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <boost/asio/connect.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <future>
+#include <mutex>
+#include <thread>
+
+#include "peridotfork/http/client.h"
+#include "peridotfork/platform/message_codec.h"
+#include "upstream/scripted_target.h"
+
+namespace peridotfork {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using After = TargetAction::After;
+using std::chrono::milliseconds;
+
+// Publishes what a test gives it.
+class PushStore final : public MetadataStore {
+ public:
+  explicit PushStore(WorkerPool& pool) : pool_(pool) {}
+
+  void List(const std::string&, Callback done) override { done(Next()); }
+  void Watch(StoreRevision, milliseconds, Callback done) override {
+    const std::lock_guard lock(mutex_);
+    waiting_ = std::move(done);
+    Deliver();
+  }
+
+  void Push(std::vector<StoreChange> changes) {
+    const std::lock_guard lock(mutex_);
+    std::ranges::move(changes, std::back_inserter(changes_));
+    Deliver();
+  }
+
+ private:
+  StoreReply Next() {
+    StoreReply reply;
+    reply.revision = StoreRevision(++revision_);
+    reply.changes = std::exchange(changes_, {});
+    return reply;
+  }
+  void Deliver() {
+    if (waiting_ && !changes_.empty()) {
+      pool_.Post([done = std::exchange(waiting_, nullptr), reply = Next()] { done(reply); });
+    }
+  }
+
+  WorkerPool& pool_;
+  std::mutex mutex_;
+  std::uint64_t revision_ = 0;
+  std::vector<StoreChange> changes_;
+  Callback waiting_;
+};
+
+Route SingleRoute(Repeatability repeatability) {
+  Route route;
+  route.id = RouteId("single");
+  route.host = "single.example";
+  route.path_prefix = "/one/";
+  route.repeatability = repeatability;
+  route.timeout = milliseconds(1000);
+  route.objective = milliseconds(400);
+  route.max_attempts = 2;
+  route.services = {{ServiceId("one"), 1}};
+  return route;
+}
+
+Route GatherRoute(std::size_t shards, double min_coverage) {
+  Route route = SingleRoute(Repeatability::kIdempotent);
+  route.id = RouteId("gather");
+  route.host = "gather.example";
+  route.path_prefix = "/all/";
+  route.services.clear();
+  route.gather.emplace();
+  for (std::size_t i = 0; i < shards; ++i) {
+    route.gather->shards.emplace_back("shard-" + std::to_string(i));
+  }
+  route.gather->top_records = 3;
+  route.gather->min_coverage = min_coverage;
+  return route;
+}
+
+GatewaySettings Settings() {
+  GatewaySettings settings;
+  settings.id = HostId("h1");
+  settings.data_centre = DataCentreId("here");
+  settings.http_address = Address("127.0.0.1:0");
+  settings.metrics_address = Address("127.0.0.1:0");
+  settings.ingress_address = Address("127.0.0.1:0");
+  settings.ready_path = "/readyz";
+  settings.max_in_flight = 100;
+  return settings;
+}
+
+using Response = bhttp::response<bhttp::string_body>;
+
+// One connection of a caller.
+class Caller {
+ public:
+  explicit Caller(const Address& address) : stream_(context_) {
+    stream_.connect(http::ParseEndpoint(address).value());
+  }
+
+  void Send(const std::string& host,
+            const std::string& path,
+            const std::string& id,
+            bhttp::verb verb = bhttp::verb::get,
+            const std::string& body = "") {
+    http::RawRequest request(verb, path, 11);
+    request.set(bhttp::field::host, host);
+    request.set("Request-Id", id);
+    request.set("Timeout-Ms", "900");
+    request.body() = body;
+    if (verb == bhttp::verb::post) {
+      request.prepare_payload();
+    }
+    bhttp::write(stream_, request);
+  }
+
+  void SendRaw(const std::string& bytes) { asio::write(stream_.socket(), asio::buffer(bytes)); }
+
+  // An answer; status 0 if the connection ends without one.
+  Response Receive() {
+    Response response;
+    beast::error_code error;
+    bhttp::read(stream_, buffer_, response, error);
+    if (error) {
+      response = {};
+      response.result(0U);
+    }
+    return response;
+  }
+
+  Response Ask(const std::string& host, const std::string& path, const std::string& id) {
+    Send(host, path, id);
+    return Receive();
+  }
+
+  void Close() { stream_.close(); }
+
+ private:
+  asio::io_context context_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+};
+
+class Fixture {
+ public:
+  Fixture() {
+    auto made = std::make_unique<PushStore>(pool);
+    store = made.get();
+    gateway.emplace(DaemonContext{pool, clock, log, Incarnation(1)}, Settings(),
+                    GatewayEdge{std::move(made), std::make_unique<platform::PlatformCodec>()});
+    REQUIRE(gateway->Start().has_value());
+  }
+
+  ~Fixture() {
+    gateway->Close();
+    pool.Stop();
+  }
+
+  ScriptedTarget& AddTarget(const std::string& service, ScriptedTarget::Script script) {
+    targets.push_back(std::make_unique<ScriptedTarget>(std::move(script)));
+    TargetEntry entry;
+    entry.id = TargetId("i-" + std::to_string(targets.size()));
+    entry.service = ServiceId(service);
+    entry.address = targets.back()->address();
+    entry.data_centre = DataCentreId("here");
+    entry.slots = Slots(3);
+    pending.emplace_back(TargetReported{entry});
+    return *targets.back();
+  }
+
+  void Publish(std::vector<Route> routes, std::uint64_t version = 1) {
+    IngressLimits limits;
+    limits.max_body = Bytes(1000);
+    limits.max_header = Bytes(2000);
+    pending.emplace_back(CataloguePublished{
+        CataloguePtr(new Catalogue(Revision(version), std::move(routes), {}, limits))});
+    store->Push(std::exchange(pending, {}));
+    for (int i = 0; i < 500 && ReadyStatus() != 200; ++i) {
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+    CHECK(ReadyStatus() == 200);
+  }
+
+  unsigned ReadyStatus() {
+    return Caller(gateway->status_address()).Ask("x", "/readyz", "").result_int();
+  }
+
+  Caller MakeCaller() { return Caller(gateway->ingress_address()); }
+
+  SystemClock clock;
+  Logger log{"test", clock};
+  WorkerPool pool{2};
+  PushStore* store = nullptr;
+  std::optional<Gateway> gateway;
+  std::vector<std::unique_ptr<ScriptedTarget>> targets;
+  std::vector<StoreChange> pending;
+};
+
+ScriptedTarget::Script Answering(const std::string& body, milliseconds delay = milliseconds(0)) {
+  return [body, delay](const std::string& header) -> TargetAction {
+    return {Answer(FieldOf(header, "Request-Id"), body), delay};
+  };
+}
+
+std::string Record(char first) {
+  return std::string(16, first);
+}
+
+// An answer of a shard, with a signature of its own.
+ScriptedTarget::Script Part(const std::string& name,
+                            const std::string& records,
+                            milliseconds delay = milliseconds(0)) {
+  return [=](const std::string& header) -> TargetAction {
+    return {"HTTP/1.1 200 OK\r\nRequest-Id: " + FieldOf(header, "Request-Id") +
+                "\r\nResponse-Stamp: " + name +
+                "\r\nContent-Length: " + std::to_string(records.size()) + "\r\n\r\n" + records,
+            delay};
+  };
+}
+
+TEST_CASE("a gateway without a configuration is not ready and refuses with a time") {
+  Fixture fixture;
+  CHECK(fixture.ReadyStatus() == 503);
+  const Response refused = fixture.MakeCaller().Ask("single.example", "/one/1", "a");
+  CHECK(refused.result_int() == 503);
+  CHECK_FALSE(refused["Retry-After"].empty());
+}
+
+TEST_CASE("a target's answer is passed on unchanged") {
+  Fixture fixture;
+  ScriptedTarget& target = fixture.AddTarget("one", [](const std::string& header) -> TargetAction {
+    CHECK(header.starts_with("GET /one/1?q=2 HTTP/1.1\r\n"));
+    CHECK(FieldOf(header, "Target-Instance") == "i-1");
+    CHECK(std::stoi(FieldOf(header, "Timeout-Ms")) <= 900);
+    return {Answer(FieldOf(header, "Request-Id"), "notes", "X-Own: 1\r\n")};
+  });
+  fixture.Publish({SingleRoute(Repeatability::kIdempotent)});
+  Caller caller = fixture.MakeCaller();
+  for (const char* id : {"a", "b"}) {
+    const Response response = caller.Ask("single.example", "/one/1?q=2", id);
+    CHECK(response.result_int() == 200);
+    CHECK(response.body() == "notes");
+    CHECK(response["Response-Stamp"] == std::string("stamp-") + id);
+    CHECK(response["X-Own"] == "1");
+  }
+  CHECK(target.connections() == 1);
+}
+
+TEST_CASE("a request without a route gets 404") {
+  Fixture fixture;
+  fixture.Publish({SingleRoute(Repeatability::kIdempotent)});
+  CHECK(fixture.MakeCaller().Ask("single.example", "/two/1", "a").result_int() == 404);
+  CHECK(fixture.MakeCaller().Ask("other.example", "/one/1", "a").result_int() == 404);
+}
+
+TEST_CASE("the greatest records of all shards are merged") {
+  Fixture fixture;
+  fixture.AddTarget("shard-0", Part("p0", Record('a') + Record('x')));
+  fixture.AddTarget("shard-1", Part("p1", Record('m') + Record('b')));
+  fixture.Publish({GatherRoute(2, 1)});
+  const Response response = fixture.MakeCaller().Ask("gather.example", "/all/1", "a");
+  CHECK(response.result_int() == 200);
+  CHECK(response["Part-Stamps"] == "p0, p1");
+  CHECK(response["Missing-Parts"] == "0");
+  CHECK(response.body() == Record('x') + Record('m') + Record('b'));
+}
+
+TEST_CASE("an answer that is due leaves without its slow shard and says so") {
+  Fixture fixture;
+  fixture.AddTarget("shard-0", Part("p0", Record('a')));
+  fixture.AddTarget("shard-1", Part("p1", Record('b')));
+  fixture.AddTarget("shard-2", Part("p2", Record('c'), milliseconds(800)));
+  fixture.Publish({GatherRoute(3, 0.6)});
+  const auto begin = std::chrono::steady_clock::now();
+  const Response response = fixture.MakeCaller().Ask("gather.example", "/all/1", "a");
+  CHECK(std::chrono::steady_clock::now() - begin < milliseconds(700));
+  CHECK(response.result_int() == 200);
+  CHECK(response["Missing-Parts"] == "1");
+  CHECK(response.body() == Record('b') + Record('a'));
+}
+
+TEST_CASE("too few shards are no success") {
+  Fixture fixture;
+  fixture.AddTarget("shard-0", Part("p0", Record('a')));
+  fixture.Publish({GatherRoute(3, 0.6)});
+  const Response response = fixture.MakeCaller().Ask("gather.example", "/all/1", "a");
+  CHECK(response.result_int() >= 500);
+  CHECK(response.find("Part-Stamps") == response.end());
+}
+
+TEST_CASE("a stalled target is hedged") {
+  Fixture fixture;
+  std::atomic<int> runs = 0;
+  const auto script = [&runs](const std::string& header) -> TargetAction {
+    const milliseconds delay(runs++ == 0 ? 900 : 0);
+    return {Answer(FieldOf(header, "Request-Id"), "notes"), delay};
+  };
+  fixture.AddTarget("one", script);
+  fixture.AddTarget("one", script);
+  fixture.Publish({SingleRoute(Repeatability::kIdempotent)});
+  const Response response = fixture.MakeCaller().Ask("single.example", "/one/1", "a");
+  CHECK(response.result_int() == 200);
+  CHECK(runs == 2);
+}
+
+TEST_CASE("a request that is not idempotent runs once and is not refused when its answer is lost") {
+  Fixture fixture;
+  const auto script = [](const std::string&) -> TargetAction {
+    return {"", milliseconds(0), After::kReset};
+  };
+  ScriptedTarget& one = fixture.AddTarget("one", script);
+  ScriptedTarget& two = fixture.AddTarget("one", script);
+  fixture.Publish({SingleRoute(Repeatability::kAtMostOnce)});
+  const Response response = fixture.MakeCaller().Ask("single.example", "/one/1", "a");
+  CHECK(response.result_int() == 502);
+  CHECK(one.requests() + two.requests() == 1);
+}
+
+TEST_CASE("a request that targets turn away goes to another one") {
+  for (const char* refusal : {"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+                              "HTTP/1.1 421 X\r\nInstance-Id: i-9\r\nContent-Length: 0\r\n\r\n"}) {
+    Fixture fixture;
+    std::atomic<int> asked = 0;
+    const auto script = [&asked, refusal](const std::string& header) -> TargetAction {
+      return {asked++ == 0 ? std::string(refusal) : Answer(FieldOf(header, "Request-Id"), "notes")};
+    };
+    fixture.AddTarget("one", script);
+    fixture.AddTarget("one", script);
+    fixture.Publish({SingleRoute(Repeatability::kAtMostOnce)});
+    CHECK(fixture.MakeCaller().Ask("single.example", "/one/1", "a").result_int() == 200);
+    CHECK(asked == 2);
+  }
+}
+
+TEST_CASE("a request that no target runs is refused with a time to come back") {
+  Fixture fixture;
+  fixture.AddTarget("one", [](const std::string&) -> TargetAction {
+    return {"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
+  });
+  fixture.Publish({SingleRoute(Repeatability::kAtMostOnce)});
+  const Response response = fixture.MakeCaller().Ask("single.example", "/one/1", "a");
+  CHECK(response.result_int() == 503);
+  CHECK_FALSE(response["Retry-After"].empty());
+  CHECK(response.find("Response-Stamp") == response.end());
+}
+
+TEST_CASE("a success without a signature, or with a coded body, is not passed on") {
+  for (const char* fields : {"Content-Encoding: gzip\r\nResponse-Stamp: s\r\n", ""}) {
+    Fixture fixture;
+    fixture.AddTarget("one", [fields](const std::string& header) -> TargetAction {
+      return {"HTTP/1.1 200 OK\r\nRequest-Id: " + FieldOf(header, "Request-Id") + "\r\n" + fields +
+              "Content-Length: 2\r\n\r\nhi"};
+    });
+    fixture.Publish({SingleRoute(Repeatability::kIdempotent)});
+    CHECK(fixture.MakeCaller().Ask("single.example", "/one/1", "a").result_int() == 502);
+  }
+}
+
+TEST_CASE("a target's own failure is passed on with its status") {
+  Fixture fixture;
+  fixture.AddTarget("one", [](const std::string& header) -> TargetAction {
+    return {Answer(FieldOf(header, "Request-Id"), "broken", "", 500)};
+  });
+  fixture.Publish({SingleRoute(Repeatability::kIdempotent)});
+  const Response response = fixture.MakeCaller().Ask("single.example", "/one/1", "a");
+  CHECK(response.result_int() == 500);
+  CHECK(response["Response-Stamp"] == "stamp-a");
+}
+
+TEST_CASE("a request that is not answered in time ends as timed out at the route's timeout") {
+  Fixture fixture;
+  fixture.AddTarget("one", Answering("notes", milliseconds(1500)));
+  Route route = SingleRoute(Repeatability::kAtMostOnce);
+  route.timeout = milliseconds(200);
+  fixture.Publish({route});
+  const auto begin = std::chrono::steady_clock::now();
+  CHECK(fixture.MakeCaller().Ask("single.example", "/one/1", "a").result_int() == 504);
+  const auto elapsed = std::chrono::steady_clock::now() - begin;
+  CHECK(elapsed >= milliseconds(180));
+  CHECK(elapsed < milliseconds(700));
+}
+
+TEST_CASE("a caller that goes away ends the work on its idempotent request") {
+  Fixture fixture;
+  std::atomic<bool> cut = false;
+  fixture.AddTarget("one", Answering("notes", milliseconds(700)));
+  fixture.Publish({SingleRoute(Repeatability::kIdempotent)});
+  Caller caller = fixture.MakeCaller();
+  caller.Send("single.example", "/one/1", "a");
+  std::this_thread::sleep_for(milliseconds(100));
+  caller.Close();
+  for (int i = 0; i < 100 && !cut; ++i) {
+    std::this_thread::sleep_for(milliseconds(5));
+    const Response metrics = Caller(fixture.gateway->metrics_address()).Ask("x", "/metrics", "");
+    cut = metrics.body().find("peridotfork_connections 0\n") != std::string::npos;
+  }
+  CHECK(cut);
+}
+
+TEST_CASE("requests that can't be read are refused by kind") {
+  Fixture fixture;
+  fixture.Publish({SingleRoute(Repeatability::kIdempotent)});
+  Caller malformed = fixture.MakeCaller();
+  malformed.SendRaw("NO HTTP\r\n\r\n");
+  CHECK(malformed.Receive().result_int() == 400);
+  Caller header = fixture.MakeCaller();
+  header.SendRaw("GET /one/1 HTTP/1.1\r\nX: " + std::string(3000, 'x') + "\r\n\r\n");
+  CHECK(header.Receive().result_int() == 431);
+  Caller body = fixture.MakeCaller();
+  body.SendRaw("POST /one/1 HTTP/1.1\r\nHost: single.example\r\nContent-Length: 5000\r\n\r\n");
+  CHECK(body.Receive().result_int() == 413);
+}
+
+TEST_CASE("a body that is sent in chunks arrives whole") {
+  Fixture fixture;
+  fixture.AddTarget("one", [](const std::string& header) -> TargetAction {
+    CHECK(FieldOf(header, "Content-Length") == "5");
+    return {Answer(FieldOf(header, "Request-Id"), "notes"), milliseconds(0), After::kClose};
+  });
+  fixture.Publish({SingleRoute(Repeatability::kIdempotent)});
+  Caller caller = fixture.MakeCaller();
+  caller.SendRaw(
+      "POST /one/1 HTTP/1.1\r\nHost: single.example\r\nRequest-Id: a\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n3\r\ncde\r\n0\r\n\r\n");
+  CHECK(caller.Receive().result_int() == 200);
+}
+
+TEST_CASE("a planned stop cuts off no request") {
+  Fixture fixture;
+  fixture.AddTarget("one", Answering("notes", milliseconds(300)));
+  fixture.Publish({SingleRoute(Repeatability::kIdempotent)});
+  Caller busy = fixture.MakeCaller();
+  Caller idle = fixture.MakeCaller();
+  busy.Send("single.example", "/one/1", "a");
+  std::this_thread::sleep_for(milliseconds(50));
+  fixture.gateway->BeginDrain();
+  CHECK(fixture.ReadyStatus() == 503);
+  const Response answer = busy.Receive();
+  CHECK(answer.result_int() == 200);
+  CHECK_FALSE(answer.keep_alive());
+  // The balancer may still send connections.
+  CHECK(fixture.MakeCaller().Ask("single.example", "/one/1", "b").result_int() == 200);
+  CHECK_FALSE(fixture.gateway->drained());
+  for (int i = 0; i < 800 && !fixture.gateway->drained(); ++i) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  CHECK(fixture.gateway->drained());
+  CHECK(idle.Receive().result_int() == 0);
+}
+
+TEST_CASE("a new version is in force for the next request") {
+  Fixture fixture;
+  fixture.AddTarget("one", Answering("old"));
+  fixture.AddTarget("two", Answering("new"));
+  fixture.Publish({SingleRoute(Repeatability::kIdempotent)});
+  Caller caller = fixture.MakeCaller();
+  CHECK(caller.Ask("single.example", "/one/1", "a").body() == "old");
+  Route route = SingleRoute(Repeatability::kIdempotent);
+  route.services = {{ServiceId("two"), 1}};
+  fixture.Publish({route}, 2);
+  std::string body;
+  for (int i = 0; i < 200 && body != "new"; ++i) {
+    std::this_thread::sleep_for(milliseconds(5));
+    body = caller.Ask("single.example", "/one/1", "b" + std::to_string(i)).body();
+  }
+  CHECK(body == "new");
+  fixture.Publish({SingleRoute(Repeatability::kIdempotent)}, 1);
+  std::this_thread::sleep_for(milliseconds(50));
+  CHECK(caller.Ask("single.example", "/one/1", "z").body() == "new");
+}
+
+}  // namespace
+}  // namespace peridotfork
--- /dev/null
+++ b/test/platform/catalogue_codec_test.cc
@@ -0,0 +1,110 @@
+#include "peridotfork/platform/catalogue_codec.h"
+
+#include <doctest/doctest.h>
+
+#include <nlohmann/json.hpp>
+#include <random>
+
+#include "platform/samples.h"
+
+namespace peridotfork::platform {
+namespace {
+
+TEST_CASE("a configuration is decoded into routes, services and limits") {
+  const Result<CataloguePtr> decoded = DecodeCatalogue(kConfigurationText);
+  REQUIRE(decoded.has_value());
+  const Catalogue& catalogue = *decoded.value();
+  CHECK(catalogue.version() == Revision(7));
+  CHECK(catalogue.limits().max_body == Bytes(262144));
+  CHECK(catalogue.limits().idle_timeout == std::chrono::seconds(15));
+  const Route* gather = catalogue.FindRoute("leno12.example", "/nono/1");
+  REQUIRE(gather != nullptr);
+  REQUIRE(gather->gather);
+  CHECK(gather->gather->shards.size() == 2);
+  CHECK(gather->gather->top_records == 5);
+  CHECK(gather->gather->min_coverage == doctest::Approx(0.75));
+  CHECK(gather->objective == std::chrono::milliseconds(60));
+  CHECK(gather->repeatability == Repeatability::kIdempotent);
+  const Route* single = catalogue.FindRoute("hufi27.example", "/goka/1");
+  REQUIRE(single != nullptr);
+  CHECK(single->repeatability == Repeatability::kAtMostOnce);
+  CHECK(single->services.front().service == ServiceId("s3"));
+  CHECK(catalogue.FindRoute("hufi27.example", "/split/1")->services.size() == 2);
+  CHECK(catalogue.services().at(ServiceId("s1")).cold_rate == Rate(2.5));
+  CHECK(catalogue.services().at(ServiceId("s1")).max_connections == Connections(31));
+}
+
+TEST_CASE("a configuration with a missing or ill-typed field is refused with its path") {
+  using nlohmann::json;
+  struct Case {
+    const char* pointer;
+    json value;
+    ErrorKind kind;
+  };
+  const Case cases[] = {
+      {"/version", "7", ErrorKind::kWrongType},
+      {"/version", -1, ErrorKind::kOutOfRange},
+      {"/version", 1.5, ErrorKind::kWrongType},
+      {"/routes", json::object(), ErrorKind::kWrongType},
+      {"/routes/0/host", 5, ErrorKind::kWrongType},
+      {"/routes/0/route_type", "both", ErrorKind::kUnknownName},
+      {"/routes/0/gather", json::array(), ErrorKind::kOutOfRange},
+      {"/routes/0/gather/0", "s2", ErrorKind::kWrongType},
+      {"/routes/1/timeout_ms", json(), ErrorKind::kWrongType},
+      {"/routes/2/traffic_split", json::array(), ErrorKind::kOutOfRange},
+      {"/services/0/max_conns", "many", ErrorKind::kWrongType},
+      {"/limits/max_body_bytes", false, ErrorKind::kWrongType},
+  };
+  for (const Case& test : cases) {
+    CAPTURE(test.pointer);
+    json document = json::parse(kConfigurationText);
+    document[json::json_pointer(test.pointer)] = test.value;
+    const Result<CataloguePtr> decoded = DecodeCatalogue(document.dump());
+    REQUIRE_FALSE(decoded.has_value());
+    CHECK(decoded.error().kind() == test.kind);
+    CHECK(decoded.error().where.starts_with("configuration"));
+  }
+  json document = json::parse(kConfigurationText);
+  document["routes"][1].erase("backend");
+  CHECK(DecodeCatalogue(document.dump()).error().kind() == ErrorKind::kMissingField);
+}
+
+TEST_CASE("a target entry is decoded") {
+  const Result<TargetEntry> decoded = DecodeTargetEntry(TargetId("i-1"), kTargetText);
+  REQUIRE(decoded.has_value());
+  CHECK(decoded.value().service == ServiceId("s1"));
+  CHECK(decoded.value().address == Address("10.128.0.9:8080"));
+  CHECK(decoded.value().started_ms == 1700000000000U);
+  CHECK(decoded.value().sequence == 4);
+  CHECK_FALSE(decoded.value().draining);
+}
+
+TEST_CASE("a target entry of another writer is refused") {
+  for (const char* text :
+       {"", "null", "[]", "{}", "\xff\xfe", R"({"backend":"s1"})",
+        R"({"backend":"s1","address":"a","zone":"z","slots":1,"state":"resting",)"
+        R"("cold_left_ms":0,"seq":1})",
+        R"({"backend":"s1","address":7,"zone":"z","slots":1,"state":"ready",)"
+        R"("cold_left_ms":0,"seq":1})"}) {
+    CAPTURE(text);
+    CHECK_FALSE(DecodeTargetEntry(TargetId("i-1"), text).has_value());
+  }
+}
+
+TEST_CASE("mutated texts are decoded or refused, never worse") {
+  int refused = 0;
+  for (unsigned seed = 0; seed < 2000; ++seed) {
+    std::mt19937 random(seed);
+    const Result<CataloguePtr> catalogue = DecodeCatalogue(Mutate(kConfigurationText, random));
+    const Result<TargetEntry> entry =
+        DecodeTargetEntry(TargetId("i-1"), Mutate(kTargetText, random));
+    refused += catalogue.has_value() ? 0 : 1;
+    if (!entry.has_value()) {
+      CHECK(entry.error().kind() != ErrorKind::kOk);
+    }
+  }
+  CHECK(refused > 500);
+}
+
+}  // namespace
+}  // namespace peridotfork::platform
--- /dev/null
+++ b/test/platform/message_codec_test.cc
@@ -0,0 +1,111 @@
+#include "peridotfork/platform/message_codec.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/beast/http.hpp>
+
+namespace peridotfork::platform {
+namespace {
+
+namespace bhttp = boost::beast::http;
+
+http::RawRequest SampleRequest() {
+  http::RawRequest request(bhttp::verb::post, "/goka/2f?x=1", 11);
+  request.set(bhttp::field::host, "HUFI27.example:8226");
+  request.set("Request-Id", "9c41d07be2a35f68");
+  request.set("Timeout-Ms", "1500");
+  request.set("Target-Instance", "i-caller");
+  request.set(bhttp::field::connection, "keep-alive, X-Hop");
+  request.set("X-Hop", "1");
+  request.set("X-Kept", "2");
+  request.set(bhttp::field::transfer_encoding, "chunked");
+  request.body() = "body";
+  return request;
+}
+
+TEST_CASE("a request is decoded") {
+  const IngressRequest decoded = PlatformCodec().DecodeRequest(SampleRequest());
+  CHECK(decoded.host == "hufi27.example");
+  CHECK(decoded.path == "/goka/2f");
+  CHECK(decoded.id == RequestId("9c41d07be2a35f68"));
+  CHECK(decoded.patience == std::chrono::milliseconds(1500));
+}
+
+TEST_CASE("a patience that is no number counts as none") {
+  for (const char* text : {"", "soon", "1e3", "1 2", "-", "99999999999999999999"}) {
+    http::RawRequest request = SampleRequest();
+    request.set("Timeout-Ms", text);
+    CHECK_FALSE(PlatformCodec().DecodeRequest(request).patience.has_value());
+  }
+}
+
+TEST_CASE("a forwarded request keeps all but what concerns one connection or attempt") {
+  const PlatformCodec codec;
+  http::RawRequest forwarded = codec.Forwarded(SampleRequest());
+  CHECK(forwarded.method() == bhttp::verb::post);
+  CHECK(forwarded.target() == "/goka/2f?x=1");
+  CHECK(forwarded["Request-Id"] == "9c41d07be2a35f68");
+  CHECK(forwarded["X-Kept"] == "2");
+  CHECK(forwarded.body() == "body");
+  CHECK(forwarded[bhttp::field::content_length] == "4");
+  for (const char* name :
+       {"X-Hop", "Connection", "Transfer-Encoding", "Timeout-Ms", "Target-Instance"}) {
+    CAPTURE(name);
+    CHECK(forwarded.find(name) == forwarded.end());
+  }
+  codec.Address(forwarded, TargetId("i-1"), std::chrono::milliseconds(700));
+  CHECK(forwarded["Timeout-Ms"] == "700");
+  CHECK(forwarded["Target-Instance"] == "i-1");
+}
+
+TEST_CASE("an answer to another request does not match") {
+  http::RawResponse response;
+  CHECK(PlatformCodec().Matches(response, RequestId("a")));
+  response.set("Request-Id", "a");
+  CHECK(PlatformCodec().Matches(response, RequestId("a")));
+  CHECK_FALSE(PlatformCodec().Matches(response, RequestId("b")));
+}
+
+TEST_CASE("what a target says of the run and of its load is decoded") {
+  http::RawResponse response;
+  response.result(503);
+  response.set("Not-Executed", "1");
+  response.set("Server-Load", "3,1,8");
+  const UpstreamAnswer shed = PlatformCodec().DecodeAnswer(response);
+  CHECK(shed.not_run);
+  CHECK_FALSE(shed.misdirected);
+  REQUIRE(shed.load);
+  CHECK(shed.load->waiting == 1);
+  CHECK(shed.load->slots == Slots(8));
+  response = {};
+  response.result(421);
+  CHECK(PlatformCodec().DecodeAnswer(response).misdirected);
+  CHECK(PlatformCodec().DecodeAnswer(response).not_run);
+  response.result(500);
+  response.set("Server-Load", "3,x,8");
+  response.set(bhttp::field::content_encoding, "gzip");
+  const UpstreamAnswer failed = PlatformCodec().DecodeAnswer(response);
+  CHECK_FALSE(failed.not_run);
+  CHECK_FALSE(failed.load);
+  CHECK(failed.transformed);
+}
+
+TEST_CASE("a merged answer names its parts and what is missing") {
+  const http::RawResponse response =
+      PlatformCodec().Encode(MergedAnswer{{"s-1", "s-2"}, 1, std::string(32, 'r')});
+  CHECK(response.result_int() == 200);
+  CHECK(response["Part-Stamps"] == "s-1, s-2");
+  CHECK(response["Missing-Parts"] == "1");
+  CHECK(response.body().size() == 32);
+}
+
+TEST_CASE("a fault carries no signature and says when to come back") {
+  const http::RawResponse response = PlatformCodec().EncodeFault(
+      503, MakeError(ErrorKind::kShed, "gateway", "bytes \xff"), std::chrono::milliseconds(60));
+  CHECK(response["Retry-After"] == "0.060");
+  CHECK(response.find("Response-Stamp") == response.end());
+  CHECK(response.body().find("\"shed\"") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace peridotfork::platform
--- /dev/null
+++ b/test/platform/store_client_test.cc
@@ -0,0 +1,150 @@
+#include "peridotfork/platform/store_client.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/beast/core/detail/base64.hpp>
+#include <future>
+#include <random>
+
+#include "peridotfork/http/server.h"
+#include "peridotfork/runtime/worker_pool.h"
+#include "platform/samples.h"
+
+namespace peridotfork::platform {
+namespace {
+
+std::string Base64(const std::string& text) {
+  namespace base64 = boost::beast::detail::base64;
+  std::string encoded(base64::encoded_size(text.size()), '\0');
+  encoded.resize(base64::encode(encoded.data(), text.data(), text.size()));
+  return encoded;
+}
+
+std::string Item(const std::string& key, const std::string& value) {
+  return R"({"key":")" + key + R"(","value":")" + value +
+         R"(","revision":412,"created":400,"lease_id":1})";
+}
+
+std::string Range(const std::string& items, const std::string& more = "false") {
+  return R"({"items":[)" + items + R"(],"has_more":)" + more + R"(,"current_rev":530})";
+}
+
+TEST_CASE("a page of the store is decoded by its keys") {
+  const auto reply = DecodeRange(Range(Item("op/config", Base64(kConfigurationText)) + "," +
+                                       Item("op/evacuate/hartford", Base64("{}")) + "," +
+                                       Item("other/key", Base64("x")) + "," +
+                                       Item("servers/i-1", Base64(kTargetText))));
+  REQUIRE(reply.has_value());
+  CHECK(reply.value().revision == StoreRevision(530));
+  CHECK(reply.value().next_page.empty());
+  CHECK(reply.value().faults.empty());
+  const auto& changes = reply.value().changes;
+  REQUIRE(changes.size() == 3);
+  CHECK(std::get<CataloguePublished>(changes[0]).catalogue->version() == Revision(7));
+  CHECK(std::get<DataCentreDrain>(changes[1]).data_centre == DataCentreId("hartford"));
+  CHECK(std::get<TargetReported>(changes[2]).entry.id == TargetId("i-1"));
+}
+
+TEST_CASE("a page that has more says where the next one begins") {
+  const auto reply = DecodeRange(Range(Item("servers/i-1", Base64(kTargetText)), "true"));
+  REQUIRE(reply.has_value());
+  CHECK(reply.value().next_page == "servers/i-1");
+}
+
+TEST_CASE("deletions are decoded") {
+  const auto reply =
+      DecodeEvents(R"({"events":[{"key":"servers/i-1","revision":9,"deleted":true},)"
+                   R"({"key":"op/evacuate/hartford","revision":10,"deleted":true},)"
+                   R"({"key":"op/config","revision":11,"deleted":true}],"current_rev":11})");
+  REQUIRE(reply.has_value());
+  REQUIRE(reply.value().changes.size() == 2);
+  CHECK(std::get<TargetRemoved>(reply.value().changes[0]).id == TargetId("i-1"));
+  CHECK_FALSE(std::get<DataCentreDrain>(reply.value().changes[1]).drained);
+}
+
+TEST_CASE("an unreadable entry names no target and leaves the others") {
+  for (const std::string& value :
+       {std::string("!!!"), std::string("abc"), Base64("{}"), Base64("\xff")}) {
+    CAPTURE(value);
+    const auto reply = DecodeRange(
+        Range(Item("servers/i-0", value) + "," + Item("servers/i-1", Base64(kTargetText))));
+    REQUIRE(reply.has_value());
+    CHECK(reply.value().faults.size() == 1);
+    REQUIRE(reply.value().changes.size() == 2);
+    CHECK(std::get<TargetRemoved>(reply.value().changes[0]).id == TargetId("i-0"));
+    CHECK(std::get<TargetReported>(reply.value().changes[1]).entry.id == TargetId("i-1"));
+  }
+}
+
+TEST_CASE("mutated answers are decoded or refused") {
+  const std::string good =
+      Range(Item("servers/i-1", Base64(kTargetText)) + "," + Item("op/evacuate/a", "e30="));
+  for (unsigned seed = 0; seed < 2000; ++seed) {
+    std::mt19937 random(seed);
+    const std::string text = Mutate(good, random);
+    const auto reply = DecodeRange(text);
+    if (!reply.has_value()) {
+      CHECK(reply.error().kind() != ErrorKind::kOk);
+    }
+    static_cast<void>(DecodeEvents(text));
+  }
+}
+
+// A store that gives the same answer to all calls.
+struct FixedStore final : http::Handler {
+  void Handle(http::Request request, http::Responder respond) override {
+    paths.push_back(request.path);
+    queries.push_back(request.query);
+    http::Response response = http::JsonResponse(body);
+    response.status = status;
+    respond(std::move(response));
+  }
+
+  unsigned status = 200;
+  std::string body = Range("");
+  std::vector<std::string> paths;
+  std::vector<std::map<std::string, std::string>> queries;
+};
+
+Result<StoreReply> Wait(const std::function<void(MetadataStore::Callback)>& call) {
+  std::promise<Result<StoreReply>> promise;
+  call([&](Result<StoreReply> reply) { promise.set_value(std::move(reply)); });
+  return promise.get_future().get();
+}
+
+TEST_CASE("refusals of the store are typed") {
+  WorkerPool pool(1);
+  FixedStore store;
+  http::Server server(pool.context(), {}, store);
+  REQUIRE(server.Listen(Address("127.0.0.1:0")).has_value());
+  StoreClient client(pool.context(), server.address());
+  const auto watch = [&](MetadataStore::Callback done) {
+    client.Watch(StoreRevision(5), std::chrono::milliseconds(20), std::move(done));
+  };
+  store.body = R"({"events":[],"current_rev":6})";
+  CHECK(Wait(watch).value().revision == StoreRevision(6));
+  CHECK(store.queries.back().at("after") == "5");
+  CHECK(store.queries.back().at("wait_ms") == "20");
+  store.status = 410;
+  CHECK(Wait(watch).error().kind() == ErrorKind::kStaleRevision);
+  store.status = 429;
+  CHECK(Wait(watch).error().kind() == ErrorKind::kShed);
+  store.status = 503;
+  CHECK(Wait(watch).error().kind() == ErrorKind::kUnavailable);
+  store.status = 200;
+  store.body = "no JSON";
+  CHECK(Wait(watch).error().kind() == ErrorKind::kMalformed);
+  pool.Stop();
+}
+
+TEST_CASE("a store that can't be reached is a transport fault") {
+  WorkerPool pool(1);
+  StoreClient client(pool.context(), Address("127.0.0.1:1"));
+  const auto reply = Wait([&](MetadataStore::Callback done) { client.List("", std::move(done)); });
+  REQUIRE_FALSE(reply.has_value());
+  CHECK(reply.error().kind() == ErrorKind::kTransport);
+  pool.Stop();
+}
+
+}  // namespace
+}  // namespace peridotfork::platform
--- /dev/null
+++ b/test/upstream/connection_test.cc
@@ -0,0 +1,190 @@
+#include "peridotfork/upstream/connection.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/beast/http.hpp>
+#include <future>
+
+#include "peridotfork/runtime/worker_pool.h"
+#include "peridotfork/upstream/connection_pool.h"
+#include "upstream/scripted_target.h"
+
+namespace peridotfork {
+namespace {
+
+using After = TargetAction::After;
+using std::chrono::milliseconds;
+
+class Fixture {
+ public:
+  explicit Fixture(ScriptedTarget::Script script) : target(std::move(script)) {
+    TargetEntry entry;
+    entry.id = TargetId("i-1");
+    entry.address = target.address();
+    endpoint.reset(new Target(entry));
+    connections.Start();
+  }
+
+  ~Fixture() {
+    connections.Stop();
+    pool.Stop();
+  }
+
+  struct Started {
+    ConnectionPtr connection;
+    std::uint64_t number;
+    std::future<ExchangeResult> result;
+  };
+
+  Started Start(const std::string& id) {
+    auto promise = std::make_shared<std::promise<ExchangeResult>>();
+    Exchange exchange;
+    exchange.request.method(boost::beast::http::verb::get);
+    exchange.request.target("/x");
+    exchange.request.version(11);
+    exchange.request.set("Request-Id", id);
+    exchange.matches = [id](const http::RawResponse& response) {
+      return response["Request-Id"] == id;
+    };
+    exchange.done = [promise](ExchangeResult result) { promise->set_value(std::move(result)); };
+    ConnectionPtr connection = connections.Take(endpoint);
+    const std::uint64_t number = connection->Start(std::move(exchange));
+    return {connection, number, promise->get_future()};
+  }
+
+  ExchangeResult Run(const std::string& id) { return Start(id).result.get(); }
+
+  ScriptedTarget target;
+  SystemClock clock;
+  WorkerPool pool{1};
+  TargetPtr endpoint;
+  ConnectionPool connections{pool, clock};
+};
+
+TEST_CASE("a connection is kept for the next exchange") {
+  Fixture fixture([](const std::string& header) -> TargetAction {
+    return {Answer(FieldOf(header, "Request-Id"), "body")};
+  });
+  for (const char* id : {"a", "b", "c"}) {
+    const ExchangeResult result = fixture.Run(id);
+    CHECK(result.state == ExchangeState::kAnswered);
+    CHECK(result.response["Response-Stamp"] == std::string("stamp-") + id);
+  }
+  CHECK(fixture.target.connections() == 1);
+}
+
+TEST_CASE("a second answer to an earlier request is passed over") {
+  std::string last;
+  Fixture fixture([&last](const std::string& header) -> TargetAction {
+    const std::string id = FieldOf(header, "Request-Id");
+    const std::string late = last.empty() ? "" : Answer(last, "late");
+    last = id;
+    return {late + Answer(id, "own")};
+  });
+  CHECK(fixture.Run("a").response.body() == "own");
+  const ExchangeResult second = fixture.Run("b");
+  CHECK(second.state == ExchangeState::kAnswered);
+  CHECK(second.response["Request-Id"] == "b");
+  CHECK(second.response.body() == "own");
+  fixture.Run("c");
+  CHECK(fixture.target.connections() == 2);
+}
+
+TEST_CASE("bytes after an answer end the connection") {
+  Fixture fixture([](const std::string& header) -> TargetAction {
+    return {Answer(FieldOf(header, "Request-Id"), "own") + "HTTP/1.1 200 OK\r\n"};
+  });
+  CHECK(fixture.Run("a").response.body() == "own");
+  CHECK(fixture.Run("b").response.body() == "own");
+  CHECK(fixture.target.connections() == 2);
+}
+
+TEST_CASE("an answer without a length ends with its connection") {
+  Fixture fixture([](const std::string& header) -> TargetAction {
+    return {"HTTP/1.1 200 OK\r\nRequest-Id: " + FieldOf(header, "Request-Id") + "\r\n\r\nwhole",
+            milliseconds(0), After::kClose};
+  });
+  const ExchangeResult result = fixture.Run("a");
+  CHECK(result.state == ExchangeState::kAnswered);
+  CHECK(result.response.body() == "whole");
+}
+
+TEST_CASE("an answer that is cut or reset on the way is lost") {
+  for (const After after : {After::kClose, After::kReset}) {
+    Fixture fixture([after](const std::string& header) -> TargetAction {
+      const std::string whole = Answer(FieldOf(header, "Request-Id"), std::string(100, 'x'));
+      return {whole.substr(0, whole.size() - 10), milliseconds(0), after};
+    });
+    CHECK(fixture.Run("a").state == ExchangeState::kLost);
+  }
+  Fixture unframed([](const std::string& header) -> TargetAction {
+    return {"HTTP/1.1 200 OK\r\nRequest-Id: " + FieldOf(header, "Request-Id") + "\r\n\r\npart",
+            milliseconds(0), After::kReset};
+  });
+  CHECK(unframed.Run("a").state == ExchangeState::kLost);
+}
+
+TEST_CASE("bytes that are no answer are lost") {
+  Fixture fixture([](const std::string&) -> TargetAction {
+    return {"\x01\x02 this is no answer\r\n\r\n", milliseconds(0), After::kKeep};
+  });
+  CHECK(fixture.Run("a").state == ExchangeState::kLost);
+}
+
+TEST_CASE("a kept connection that has ended is replaced without a loss") {
+  Fixture fixture([](const std::string& header) -> TargetAction {
+    return {Answer(FieldOf(header, "Request-Id"), "own"), milliseconds(0), After::kClose};
+  });
+  CHECK(fixture.Run("a").state == ExchangeState::kAnswered);
+  std::this_thread::sleep_for(milliseconds(50));
+  CHECK(fixture.Run("b").state == ExchangeState::kAnswered);
+  CHECK(fixture.target.connections() == 2);
+}
+
+TEST_CASE("a target that refuses connections gets nothing") {
+  Fixture fixture([](const std::string&) -> TargetAction { return {}; });
+  TargetEntry entry;
+  entry.address = Address("127.0.0.1:1");
+  fixture.endpoint.reset(new Target(entry));
+  CHECK(fixture.Run("a").state == ExchangeState::kNotConnected);
+}
+
+TEST_CASE("an exchange that is abandoned at once ends, though its write completes") {
+  Fixture fixture([](const std::string& header) -> TargetAction {
+    return {Answer(FieldOf(header, "Request-Id"), "own"), milliseconds(5)};
+  });
+  fixture.Run("warm");
+  // The write of the first exchange is under way when the exchange ends.
+  for (int i = 0; i < 200; ++i) {
+    Fixture::Started started = fixture.Start("a" + std::to_string(i));
+    started.connection->Abandon(started.number, fixture.clock.now());
+    CHECK(started.result.get().state == ExchangeState::kAbandoned);
+  }
+}
+
+TEST_CASE("an exchange that no one waits for is closed when it is overdue") {
+  Fixture fixture([](const std::string& header) -> TargetAction {
+    return {Answer(FieldOf(header, "Request-Id"), "own"), milliseconds(1500)};
+  });
+  Fixture::Started started = fixture.Start("a");
+  started.connection->Abandon(started.number, fixture.clock.now() + milliseconds(100));
+  const BootTime begin = fixture.clock.now();
+  CHECK(started.result.get().state == ExchangeState::kAbandoned);
+  CHECK(fixture.clock.now() - begin >= milliseconds(90));
+  CHECK(fixture.clock.now() - begin < milliseconds(1000));
+}
+
+TEST_CASE("the end of an earlier exchange leaves the next one alone") {
+  Fixture fixture([](const std::string& header) -> TargetAction {
+    return {Answer(FieldOf(header, "Request-Id"), "own"), milliseconds(20)};
+  });
+  Fixture::Started first = fixture.Start("a");
+  CHECK(first.result.get().state == ExchangeState::kAnswered);
+  Fixture::Started second = fixture.Start("b");
+  REQUIRE(second.connection == first.connection);
+  first.connection->Abandon(first.number, fixture.clock.now());
+  CHECK(second.result.get().state == ExchangeState::kAnswered);
+}
+
+}  // namespace
+}  // namespace peridotfork
