Avoid slow targets for a growing time; share store calls within 900 ms

Cause: one slow answer raised a target's smoothed time by a quarter of the difference and was forgotten by half in 1.5 s, so a host with few requests tried each slow target again every second. Change: a target that takes 3.5 times the usual time is avoided for 200 ms, doubled up to 3.2 s while it stays slow. Changes within 900 ms share a call.

--- a/include/peridotfork/balance/target.h
+++ b/include/peridotfork/balance/target.h
@@ -73,6 +73,9 @@
   // Time of answers as a multiple of the usual one, smoothed.
   double slowness = 1;
   BootTime slowness_at;
+  // Avoided until then, and how often in a row it was found slow.
+  BootTime slow_until;
+  std::uint32_t slow_in_row = 0;
   // Share of failures among the last answers, smoothed.
   double failure_rate = 0;
   std::uint32_t losses_in_row = 0;
--- a/include/peridotfork/discovery/store_follower.h
+++ b/include/peridotfork/discovery/store_follower.h
@@ -25,7 +25,7 @@
   std::chrono::milliseconds watch{5000};
   // Pause between an answer with changes and the next watch, so that changes in
   // quick succession share a call.
-  std::chrono::milliseconds settle{400};
+  std::chrono::milliseconds settle{900};
   // Pause after a failure; doubled for each further one.
   std::chrono::milliseconds first_pause{100};
   std::chrono::milliseconds longest_pause{800};
--- a/src/balance/target_score.cc
+++ b/src/balance/target_score.cc
@@ -11,6 +11,14 @@
 // Weight of the newest answer in the smoothed figures.
 constexpr double kSmoothing = 0.25;
 constexpr double kFailureSmoothing = 0.2;
+// A target that takes this multiple of the usual time is avoided for a while: a
+// little longer than the pauses of a sound one, doubled each time that it is
+// found slow again.
+constexpr double kSlowRatio = 3.5;
+constexpr std::chrono::milliseconds kFirstSlowPause{200};
+constexpr std::uint32_t kMaxSlowDoublings = 4;
+// Cost of a target that is avoided, in multiples of the usual time.
+constexpr double kSlowCost = 5;
 // Losses in a row that make a target suspect; a failed connect counts twice.
 constexpr std::uint32_t kLossesToSuspect = 2;
 // How long a suspect is left alone; doubled for each further loss.
@@ -59,6 +67,16 @@
     return;
   }
   const double ratio = Seconds(now - attempt.sent) / Seconds(attempt.usual);
+  // Attempts that were sent before the target was found slow tell nothing new.
+  if (attempt.sent >= condition.slow_until) {
+    if (ratio < kSlowRatio) {
+      condition.slow_in_row = 0;
+    } else {
+      const std::uint32_t doublings = std::min(condition.slow_in_row, kMaxSlowDoublings);
+      condition.slow_until = now + kFirstSlowPause * (1 << doublings);
+      ++condition.slow_in_row;
+    }
+  }
   condition.slowness += kSmoothing * (std::min(ratio, 20.0) - condition.slowness);
   condition.slowness_at = now;
 }
@@ -80,6 +98,9 @@
   if (condition.entry.data_centre != self) {
     score += options.remote_cost;
   }
+  if (now < condition.slow_until) {
+    score += kSlowCost;
+  }
   if (!condition.open_attempts.empty()) {
     const std::chrono::nanoseconds wait = now - condition.open_attempts.front().sent;
     const auto limit = std::max<std::chrono::nanoseconds>(
