--- a/include/peridotfork/fanout/fan_out.h
+++ b/include/peridotfork/fanout/fan_out.h
@@ -50,6 +50,9 @@
 
 std::string_view FanOutOutcomeName(FanOutOutcome outcome);
 
+// Shards that a success needs: at least one.
+std::size_t RequiredShards(std::size_t shards, double min_coverage);
+
 // State machine of one request over its shards: when to send first attempts,
 // retries and hedges, and when the answer is final. A request for one service is
 // a fan-out of one shard. Does no I/O. Not thread-safe.
@@ -106,7 +109,7 @@
 
   // What to send to the shard now; marks it if nothing more can be sent.
   std::optional<AttemptPurpose> NextFor(Shard& shard, BootTime now);
-  std::size_t required() const;
+  std::size_t required() const { return RequiredShards(shards_.size(), plan_.min_coverage); }
   bool CanHedge(const Shard& shard) const;
 
   const FanOutPlan plan_;
--- a/include/peridotfork/gateway/gateway.h
+++ b/include/peridotfork/gateway/gateway.h
@@ -39,6 +39,8 @@
   ~Gateway() override;
 
   Result<void> Start() override;
+  // Takes over the limit of requests in flight; everything else needs a restart.
+  Result<void> Reload(const std::string& settings) override;
   void BeginDrain() override;
   bool drained() const override;
   void Close() override;
@@ -68,6 +70,8 @@
   void OpenSession(Tcp::socket socket);
   void OnDirectory(const FleetDirectory& directory);
   std::vector<ServiceId> ServicesOf(const Route& route);
+  // Whether enough services of the request have targets for a success.
+  bool CanSucceed(const RoutedRequest& request) const;
   void CloseIdleSessions();
   bool ready() const;
 
@@ -86,6 +90,7 @@
   std::atomic<bool> draining_ = false;
   std::atomic<bool> accepting_ = false;
   std::atomic<std::size_t> in_flight_ = 0;
+  std::atomic<std::size_t> max_in_flight_;
   std::atomic<std::uint64_t> split_sequence_ = 0;
 
   mutable RankedMutex catalogue_mutex_{LockRank::kView};
--- a/src/balance/target_score.cc
+++ b/src/balance/target_score.cc
@@ -18,7 +18,7 @@
 constexpr std::chrono::milliseconds kFirstSlowPause{200};
 constexpr std::uint32_t kMaxSlowDoublings = 4;
 // Cost of a target that is avoided, in multiples of the usual time.
-constexpr double kSlowCost = 5;
+constexpr double kSlowCost = 3;
 // Losses in a row that make a target suspect; a failed connect counts twice.
 constexpr std::uint32_t kLossesToSuspect = 2;
 // How long a suspect is left alone; doubled for each further loss.
--- a/src/fanout/fan_out.cc
+++ b/src/fanout/fan_out.cc
@@ -16,6 +16,13 @@
   return kOutcomeNames[static_cast<std::size_t>(outcome)];
 }
 
+std::size_t RequiredShards(std::size_t shards, double min_coverage) {
+  // Keeps a coverage such as 0.9 of 10 from being rounded up to 10.
+  constexpr double kRounding = 1e-9;
+  const double share = min_coverage * static_cast<double>(shards);
+  return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(share - kRounding)));
+}
+
 FanOut::FanOut(FanOutPlan plan) : plan_(plan), shards_(plan.shards) {}
 
 std::optional<FanOut::Wish> FanOut::Next(BootTime now) {
@@ -124,13 +131,6 @@
                              [](const Shard& shard) { return shard.ran > 0 || shard.open > 0; });
 }
 
-std::size_t FanOut::required() const {
-  // Keeps a coverage such as 0.9 of 10 from being rounded up to 10.
-  constexpr double kRounding = 1e-9;
-  const double share = plan_.min_coverage * static_cast<double>(shards_.size());
-  return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(share - kRounding)));
-}
-
 bool FanOut::CanHedge(const Shard& shard) const {
   return plan_.idempotent && shard.open == 1 && shard.ran + shard.open < plan_.max_attempts;
 }
--- a/src/gateway/caller_session.cc
+++ b/src/gateway/caller_session.cc
@@ -21,7 +21,7 @@
 namespace beast = boost::beast;
 namespace bhttp = boost::beast::http;
 
-constexpr std::size_t kReadSize = 8 * 1024;
+constexpr std::size_t kReadSize = 8192;
 // A request that arrives so soon after its connection was accepted was waited
 // for since the connection was opened.
 constexpr std::chrono::milliseconds kOpenedForRequest{100};
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,5 +1,6 @@
 #include "peridotfork/gateway/gateway.h"
 
+#include <algorithm>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/strand.hpp>
 #include <string_view>
@@ -21,6 +22,10 @@
 // A refusal for overload tells the caller to come back after this time.
 constexpr std::chrono::milliseconds kRetryAfterOverload{200};
 
+// A refusal for lack of targets tells the caller to come back after this share of
+// its patience: lapsed entries take up to two seconds to return.
+constexpr double kRetryAfterNoTargets = 0.3;
+
 std::string_view PathOf(const std::string& target) {
   return std::string_view(target).substr(0, target.find('?'));
 }
@@ -43,7 +48,8 @@
                 [this](const FleetDirectory& directory) { OnDirectory(directory); }),
       status_server_(context.pool.context(), {}, *this),
       metrics_server_(context.pool.context(), {}, *this),
-      acceptor_(asio::make_strand(context.pool.context())) {
+      acceptor_(asio::make_strand(context.pool.context())),
+      max_in_flight_(settings.max_in_flight) {
   metrics_.AddGauge("peridotfork_targets", "Targets in the store.",
                     [this] { return static_cast<double>(targets_.size()); });
   metrics_.AddGauge("peridotfork_connections", "Connections to targets.",
@@ -69,6 +75,20 @@
   return boost::outcome_v2::success();
 }
 
+Result<void> Gateway::Reload(const std::string& settings) {
+  const SettingsResult<GatewaySettings> parsed = ParseSettings<GatewaySettings>(settings);
+  if (!parsed.has_value()) {
+    return parsed.error().front().ToError();
+  }
+  max_in_flight_ = parsed.value().max_in_flight;
+  GatewaySettings applied = settings_;
+  applied.max_in_flight = parsed.value().max_in_flight;
+  if (ToIni(applied) != ToIni(parsed.value())) {
+    context_.log.Warning("Some new settings take effect at the next start only.");
+  }
+  return boost::outcome_v2::success();
+}
+
 Result<void> Gateway::Listen() {
   const auto endpoint = http::ParseEndpoint(settings_.ingress_address);
   if (!endpoint.has_value()) {
@@ -191,11 +211,19 @@
         404, MakeError(ErrorKind::kUnknownName, "route", routed.ingress.host + routed.ingress.path),
         std::nullopt);
   }
-  if (in_flight_ >= settings_.max_in_flight) {
+  if (in_flight_ >= max_in_flight_) {
     return refuse(503, MakeError(ErrorKind::kShed, "gateway", "too many requests in flight"),
                   kRetryAfterOverload);
   }
   routed.services = ServicesOf(*routed.route);
+  if (!CanSucceed(routed)) {
+    const auto patience = routed.ingress.patience.value_or(routed.route->timeout);
+    return refuse(503,
+                  MakeError(ErrorKind::kUnavailable, "route " + routed.route->id.value(),
+                            "too few of its services have targets"),
+                  std::chrono::duration_cast<std::chrono::milliseconds>(patience *
+                                                                        kRetryAfterNoTargets));
+  }
   routed.message = std::move(request);
   routed.start = start;
   ++in_flight_;
@@ -203,6 +231,13 @@
                                             [this] { --in_flight_; }));
 }
 
+bool Gateway::CanSucceed(const RoutedRequest& request) const {
+  const auto usable = static_cast<std::size_t>(std::ranges::count_if(
+      request.services, [this](const ServiceId& id) { return targets_.HasTargets(id); }));
+  const double coverage = request.route->gather ? request.route->gather->min_coverage : 1;
+  return usable >= RequiredShards(request.services.size(), coverage);
+}
+
 std::vector<ServiceId> Gateway::ServicesOf(const Route& route) {
   if (route.gather) {
     return route.gather->shards;
--- a/src/metrics/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -43,8 +43,8 @@
   for (std::size_t i = 0; i < buckets_.size(); ++i) {
     cumulative += buckets_[i];
     const std::string bound = i < kBounds.size() ? Number(kBounds[i]) : "+Inf";
-    out +=
-        name + "_bucket{" + prefix + "le=\"" + bound + "\"} " + std::to_string(cumulative) + "\n";
+    out.append(name).append("_bucket{").append(prefix).append("le=\"").append(bound);
+    out.append("\"} ").append(std::to_string(cumulative)).append("\n");
   }
   out += name + "_sum" + Braces(labels) + " " + Number(accumulators::sum(summary_)) + "\n";
   out +=
--- a/src/upstream/connection.cc
+++ b/src/upstream/connection.cc
@@ -28,7 +28,7 @@
 // and others this much before the target closes them.
 constexpr std::chrono::seconds kDefaultIdle{4};
 constexpr std::chrono::milliseconds kIdleMargin{700};
-constexpr std::size_t kReadSize = 16 * 1024;
+constexpr std::size_t kReadSize = 16384;
 constexpr std::uint64_t kMaxAnswerBytes = std::uint64_t{16} << 20;
 
 // Time for which the target keeps an idle connection, from a field such as
--- a/test/gateway/gateway_test.cc
+++ b/test/gateway/gateway_test.cc
@@ -294,13 +294,42 @@
 
 TEST_CASE("too few shards are no success") {
   Fixture fixture;
+  const auto broken = [](const std::string&) -> TargetAction {
+    return {"", milliseconds(0), After::kReset};
+  };
   fixture.AddTarget("shard-0", Part("p0", Record('a')));
+  fixture.AddTarget("shard-1", broken);
+  fixture.AddTarget("shard-2", broken);
   fixture.Publish({GatherRoute(3, 0.6)});
   const Response response = fixture.MakeCaller().Ask("gather.example", "/all/1", "a");
-  CHECK(response.result_int() >= 500);
+  CHECK(response.result_int() == 502);
   CHECK(response.find("Part-Stamps") == response.end());
 }
 
+TEST_CASE("a request that can't succeed for lack of targets is refused before it runs") {
+  Fixture fixture;
+  ScriptedTarget& target = fixture.AddTarget("shard-0", Part("p0", Record('a')));
+  fixture.Publish({GatherRoute(3, 0.6), SingleRoute(Repeatability::kAtMostOnce)});
+  const Response gather = fixture.MakeCaller().Ask("gather.example", "/all/1", "a");
+  CHECK(gather.result_int() == 503);
+  CHECK(gather["Retry-After"] == "0.270");
+  CHECK(fixture.MakeCaller().Ask("single.example", "/one/1", "a").result_int() == 503);
+  CHECK(target.requests() == 0);
+}
+
+TEST_CASE("new settings take over the limit in flight; faulty ones change nothing") {
+  Fixture fixture;
+  fixture.AddTarget("one", Answering("notes"));
+  fixture.Publish({SingleRoute(Repeatability::kIdempotent)});
+  GatewaySettings settings = Settings();
+  settings.worker_threads = 2;
+  settings.max_in_flight = 1;
+  CHECK(fixture.gateway->Reload(ToIni(settings)).has_value());
+  CHECK(fixture.gateway->Reload("[ingress]\nmax_in_flight = many\n").error().kind() !=
+        ErrorKind::kOk);
+  CHECK(fixture.MakeCaller().Ask("single.example", "/one/1", "a").result_int() == 200);
+}
+
 TEST_CASE("a stalled target is hedged") {
   Fixture fixture;
   std::atomic<int> runs = 0;
