Avoid a slow target briefly at first; failures cost more

Change: first pause 60 ms, four times as long each time up to 3.8 s; cost of a certain failure 9 -> 16 usual times.

--- a/include/peridotfork/balance/target_score.h
+++ b/include/peridotfork/balance/target_score.h
@@ -13,7 +13,7 @@
   // a local target is left once its queue costs as much.
   double remote_cost = 1.5;
   // Cost of a certain failure, in multiples of the usual time.
-  double failure_cost = 9;
+  double failure_cost = 16;
   // An attempt that waits for this multiple of the usual time marks its target
   // as stalled.
   double stall_factor = 2.5;
--- a/src/balance/target_score.cc
+++ b/src/balance/target_score.cc
@@ -11,12 +11,13 @@
 // Weight of the newest answer in the smoothed figures.
 constexpr double kSmoothing = 0.25;
 constexpr double kFailureSmoothing = 0.2;
-// A target that takes this multiple of the usual time is avoided for a while: a
-// little longer than the pauses of a sound one, doubled each time that it is
-// found slow again.
+// A target that takes this multiple of the usual time is avoided for a while:
+// briefly at first, since the pause of a sound one is over when its late answer
+// arrives, and four times as long each time that it is found slow again.
 constexpr double kSlowRatio = 3.5;
-constexpr std::chrono::milliseconds kFirstSlowPause{200};
-constexpr std::uint32_t kMaxSlowDoublings = 4;
+constexpr std::chrono::milliseconds kFirstSlowPause{60};
+constexpr std::uint32_t kSlowGrowth = 4;
+constexpr std::uint32_t kMaxSlowSteps = 3;
 // Cost of a target that is avoided, in multiples of the usual time.
 constexpr double kSlowCost = 3;
 // Losses in a row that make a target suspect; a failed connect counts twice.
@@ -72,8 +73,11 @@
     if (ratio < kSlowRatio) {
       condition.slow_in_row = 0;
     } else {
-      const std::uint32_t doublings = std::min(condition.slow_in_row, kMaxSlowDoublings);
-      condition.slow_until = now + kFirstSlowPause * (1 << doublings);
+      std::chrono::milliseconds pause = kFirstSlowPause;
+      for (std::uint32_t i = 0; i < std::min(condition.slow_in_row, kMaxSlowSteps); ++i) {
+        pause *= kSlowGrowth;
+      }
+      condition.slow_until = now + pause;
       ++condition.slow_in_row;
     }
   }
