Log what changes the belief about targets; test reload

Change: lines when a target becomes slow, suspect, misdirected or sound, with the figures and the number of its report, and when the set of targets changes. The reload test checks that the new limit is in force.

--- a/include/peridotfork/balance/target_score.h
+++ b/include/peridotfork/balance/target_score.h
@@ -2,7 +2,7 @@
 #define PERIDOTFORK_BALANCE_TARGET_SCORE_H_
 
 #include <chrono>
-#include <optional>
+#include <string_view>
 
 #include "peridotfork/balance/target.h"
 
@@ -32,6 +32,12 @@
                    BootTime now,
                    const ScoreOptions& options);
 
+// What is believed of a target, for the log.
+enum class TargetHealth { kSound, kSlow, kSuspect, kMisdirected };
+
+std::string_view TargetHealthName(TargetHealth health);
+TargetHealth HealthOf(const TargetCondition& condition, BootTime now);
+
 // Whether the target may take one more request now.
 bool MayTakeWork(const TargetCondition& condition, BootTime now);
 
--- a/include/peridotfork/balance/target_table.h
+++ b/include/peridotfork/balance/target_table.h
@@ -15,6 +15,7 @@
 #include "peridotfork/core/clock.h"
 #include "peridotfork/routing/budget.h"
 #include "peridotfork/routing/latency_tracker.h"
+#include "peridotfork/runtime/log.h"
 #include "peridotfork/runtime/ranked_mutex.h"
 
 namespace peridotfork {
@@ -52,7 +53,9 @@
 // budgets of extra attempts, and the usual times of the routes. Thread-safe.
 class TargetTable {
  public:
+  // `clock` and `log` must outlive the table.
   TargetTable(const Clock& clock,
+              Logger& log,
               const HostId& host,
               DataCentreId self,
               BalanceOptions options = {});
@@ -100,7 +103,12 @@
                     BootTime now,
                     bool (*may_take)(const TargetCondition&, BootTime)) const;
 
+  // Writes a line if what is believed of the target has changed.
+  void LogChange(const Target& target, TargetHealth before, BootTime now);
+  void LogMembership(const std::map<TargetId, TargetPtr>& kept);
+
   const Clock& clock_;
+  Logger& log_;
   const std::string host_;
   const DataCentreId self_;
   const BalanceOptions options_;
--- a/src/balance/target_score.cc
+++ b/src/balance/target_score.cc
@@ -1,6 +1,7 @@
 #include "peridotfork/balance/target_score.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace peridotfork {
@@ -117,6 +118,21 @@
   return score;
 }
 
+std::string_view TargetHealthName(TargetHealth health) {
+  constexpr std::array<std::string_view, 4> kNames = {"sound", "slow", "suspect", "misdirected"};
+  return kNames[static_cast<std::size_t>(health)];
+}
+
+TargetHealth HealthOf(const TargetCondition& condition, BootTime now) {
+  if (condition.misdirected) {
+    return TargetHealth::kMisdirected;
+  }
+  if (condition.losses_in_row >= kLossesToSuspect) {
+    return TargetHealth::kSuspect;
+  }
+  return now < condition.slow_until ? TargetHealth::kSlow : TargetHealth::kSound;
+}
+
 bool MayTakeWork(const TargetCondition& condition, BootTime now) {
   if (condition.closed || condition.misdirected || !ColdAllows(condition, now) ||
       IsColdWithoutLimit(condition, now)) {
--- a/src/balance/target_table.cc
+++ b/src/balance/target_table.cc
@@ -41,10 +41,12 @@
 }  // namespace
 
 TargetTable::TargetTable(const Clock& clock,
+                         Logger& log,
                          const HostId& host,
                          DataCentreId self,
                          BalanceOptions options)
     : clock_(clock),
+      log_(log),
       host_(host.value()),
       self_(std::move(self)),
       options_(options),
@@ -72,6 +74,7 @@
     Service(entry.service).targets.push_back(target);
     kept.emplace(entry.id, std::move(target));
   }
+  LogMembership(kept);
   targets_ = std::move(kept);
 }
 
@@ -112,7 +115,49 @@
     condition.load = load;
     condition.load_at = now;
   }
+  const TargetHealth before = HealthOf(condition, now);
   RecordEnd(condition, attempt, end, now, options_.score);
+  LogChange(*attempt.target, before, now);
+}
+
+void TargetTable::LogChange(const Target& target, TargetHealth before, BootTime now) {
+  const TargetCondition& condition = target.condition;
+  const TargetHealth after = HealthOf(condition, now);
+  // A slow target is sound again by time alone.
+  if (after == before || (before == TargetHealth::kSound && after == TargetHealth::kSlow &&
+                          condition.slow_in_row == 1)) {
+    return;
+  }
+  log_.Request("The belief about a target has changed.",
+               {{"target", target.id().value()},
+                {"service", condition.entry.service.value()},
+                {"from", std::string(TargetHealthName(before))},
+                {"to", std::string(TargetHealthName(after))},
+                {"losses", std::to_string(condition.losses_in_row)},
+                {"slowness", std::to_string(condition.slowness)},
+                {"failure_rate", std::to_string(condition.failure_rate)},
+                {"report", std::to_string(condition.entry.sequence)}});
+}
+
+void TargetTable::LogMembership(const std::map<TargetId, TargetPtr>& kept) {
+  std::size_t added = 0;
+  std::size_t closed = 0;
+  std::string removed;
+  for (const auto& [id, target] : kept) {
+    const auto known = targets_.find(id);
+    added += known == targets_.end() || known->second != target ? 1 : 0;
+    closed += target->condition.closed ? 1 : 0;
+  }
+  for (const auto& [id, target] : targets_) {
+    const auto still = kept.find(id);
+    if (still == kept.end() || still->second != target) {
+      removed.append(removed.empty() ? "" : ",").append(id.value());
+    }
+  }
+  log_.Request("The targets have changed.", {{"targets", std::to_string(kept.size())},
+                                             {"added", std::to_string(added)},
+                                             {"closed", std::to_string(closed)},
+                                             {"removed", removed}});
 }
 
 void TargetTable::ObserveRoute(const Route& route, std::chrono::nanoseconds time) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -37,7 +37,7 @@
       settings_(settings),
       edge_(std::move(edge)),
       request_log_(metrics_, context.log),
-      targets_(context.clock, settings.id, settings.data_centre),
+      targets_(context.clock, context.log, settings.id, settings.data_centre),
       connections_(context.pool, context.clock),
       runner_context_{context.pool.context(), context.clock, *edge_.codec, targets_,
                       connections_,           request_log_},
@@ -218,11 +218,11 @@
   routed.services = ServicesOf(*routed.route);
   if (!CanSucceed(routed)) {
     const auto patience = routed.ingress.patience.value_or(routed.route->timeout);
-    return refuse(503,
-                  MakeError(ErrorKind::kUnavailable, "route " + routed.route->id.value(),
-                            "too few of its services have targets"),
-                  std::chrono::duration_cast<std::chrono::milliseconds>(patience *
-                                                                        kRetryAfterNoTargets));
+    return refuse(
+        503,
+        MakeError(ErrorKind::kUnavailable, "route " + routed.route->id.value(),
+                  "too few of its services have targets"),
+        std::chrono::duration_cast<std::chrono::milliseconds>(patience * kRetryAfterNoTargets));
   }
   routed.message = std::move(request);
   routed.start = start;
--- a/test/balance/target_table_test.cc
+++ b/test/balance/target_table_test.cc
@@ -35,7 +35,7 @@
 class Fixture {
  public:
   explicit Fixture(double cold_rate = 0, const std::string& host = "h1")
-      : table(clock, HostId(host), DataCentreId("here")),
+      : table(clock, log, HostId(host), DataCentreId("here")),
         catalogue_(
             new Catalogue(Revision(1), {}, {{kService, Connections(31), Rate(cold_rate)}}, {})) {}
 
@@ -59,6 +59,7 @@
   }
 
   ManualClock clock;
+  Logger log{"test", clock};
   const Route route = MakeRoute();
   TargetTable table;
 
@@ -255,5 +256,42 @@
   }
 }
 
+TEST_CASE("a target that stays slow is avoided for longer and longer") {
+  Fixture fixture;
+  fixture.Update({Entry("far", "there"), Entry("near", "here")});
+  // Reads which target is chosen `after` the slow answer of the near one.
+  const auto answer_slowly = [&] {
+    AttemptPtr attempt = fixture.Pick();
+    while (attempt->target->id() != TargetId("near")) {
+      fixture.table.Finish(*attempt, AttemptEnd::kCancelled, std::nullopt);
+      fixture.clock.Advance(milliseconds(10));
+      attempt = fixture.Pick();
+    }
+    fixture.clock.Advance(milliseconds(100));
+    fixture.table.Finish(*attempt, AttemptEnd::kAnswered, std::nullopt);
+  };
+  answer_slowly();
+  CHECK(fixture.PickName() == "far");
+  fixture.clock.Advance(milliseconds(61));
+  answer_slowly();
+  fixture.clock.Advance(milliseconds(100));
+  CHECK(fixture.PickName() == "far");
+}
+
+TEST_CASE("a target that sheds loses its work to one that does not") {
+  Fixture fixture;
+  fixture.Update({Entry("far", "there"), Entry("near", "here")});
+  for (int i = 0; i < 4; ++i) {
+    const AttemptPtr attempt = fixture.Pick();
+    if (attempt->target->id() == TargetId("near")) {
+      fixture.table.Finish(*attempt, AttemptEnd::kShed, std::nullopt);
+    } else {
+      fixture.clock.Advance(milliseconds(18));
+      fixture.table.Finish(*attempt, AttemptEnd::kAnswered, std::nullopt);
+    }
+  }
+  CHECK(fixture.PickName() == "far");
+}
+
 }  // namespace
 }  // namespace peridotfork
--- a/test/gateway/gateway_test.cc
+++ b/test/gateway/gateway_test.cc
@@ -98,6 +98,9 @@
   settings.metrics_address = Address("127.0.0.1:0");
   settings.ingress_address = Address("127.0.0.1:0");
   settings.ready_path = "/readyz";
+  settings.inner_address = Address("127.0.0.1:1");
+  settings.store_address = Address("127.0.0.1:1");
+  settings.worker_threads = 2;
   settings.max_in_flight = 100;
   return settings;
 }
@@ -319,15 +322,21 @@
 
 TEST_CASE("new settings take over the limit in flight; faulty ones change nothing") {
   Fixture fixture;
-  fixture.AddTarget("one", Answering("notes"));
+  fixture.AddTarget("one", Answering("notes", milliseconds(200)));
   fixture.Publish({SingleRoute(Repeatability::kIdempotent)});
   GatewaySettings settings = Settings();
-  settings.worker_threads = 2;
   settings.max_in_flight = 1;
   CHECK(fixture.gateway->Reload(ToIni(settings)).has_value());
-  CHECK(fixture.gateway->Reload("[ingress]\nmax_in_flight = many\n").error().kind() !=
-        ErrorKind::kOk);
-  CHECK(fixture.MakeCaller().Ask("single.example", "/one/1", "a").result_int() == 200);
+  const Result<void> faulty = fixture.gateway->Reload("[ingress]\nmax_in_flight = many\n");
+  REQUIRE_FALSE(faulty.has_value());
+  CHECK_FALSE(faulty.error().where.empty());
+  Caller first = fixture.MakeCaller();
+  first.Send("single.example", "/one/1", "a");
+  std::this_thread::sleep_for(milliseconds(50));
+  const Response refused = fixture.MakeCaller().Ask("single.example", "/one/1", "b");
+  CHECK(refused.result_int() == 503);
+  CHECK_FALSE(refused["Retry-After"].empty());
+  CHECK(first.Receive().result_int() == 200);
 }
 
 TEST_CASE("a stalled target is hedged") {
