--- a/test/gateway/gateway_test.cc
+++ b/test/gateway/gateway_test.cc
@@ -326,6 +326,10 @@
   fixture.Publish({SingleRoute(Repeatability::kIdempotent)});
   GatewaySettings settings = Settings();
   settings.max_in_flight = 1;
+  for (Address* address :
+       {&settings.http_address, &settings.metrics_address, &settings.ingress_address}) {
+    *address = Address("127.0.0.1:1");
+  }
   CHECK(fixture.gateway->Reload(ToIni(settings)).has_value());
   const Result<void> faulty = fixture.gateway->Reload("[ingress]\nmax_in_flight = many\n");
   REQUIRE_FALSE(faulty.has_value());
--- a/test/integration/pages_test.py
+++ b/test/integration/pages_test.py
@@ -12,7 +12,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 BUILD = os.environ.get("PERIDOTFORK_BUILD", os.path.join(ROOT, "build"))
-ROLES = ["agent", "dispatcher", "entry"]
+ROLES = ["agent", "dispatcher", "entry", "gateway"]
 KEY_LINE = re.compile(r"^  \[(\w+)\] (\w+) (?:= (.*)|(\(required\)))$")
 
 
@@ -107,7 +107,8 @@
 
     # Guards against JSON samples and page links that name no file.
     def test_links_between_the_pages_name_files(self):
-        for page in ["callers", "operators", "configuration", "settings", "glossary"]:
+        for page in ["callers", "operators", "configuration", "settings", "glossary",
+                     "platform", "OPERATIONS"]:
             for link in re.findall(r"\]\(([^)#:]+)(?:#[^)]*)?\)", read("docs", f"{page}.md")):
                 path = os.path.join(ROOT, "docs", link)
                 self.assertTrue(os.path.exists(path), f"docs/{page}.md names {link}")
