Keep late answers out of the smoothed times

Ruled out: queues and reported load; a local target with two requests scores 1.6 against 2.4 of a remote one.

--- a/src/balance/target_score.cc
+++ b/src/balance/target_score.cc
@@ -11,6 +11,9 @@
 
 // Weight of the newest answer in the smoothed figures.
 constexpr double kSmoothing = 0.25;
+// Longer times count as this multiple, so that the smoothed time tells steady
+// differences of targets; single late answers are dealt with by kSlowRatio.
+constexpr double kMaxSmoothedRatio = 2.5;
 constexpr double kFailureSmoothing = 0.2;
 // A target that takes this multiple of the usual time is avoided for a while:
 // briefly at first, since the pause of a sound one is over when its late answer
@@ -82,7 +85,7 @@
       ++condition.slow_in_row;
     }
   }
-  condition.slowness += kSmoothing * (std::min(ratio, 20.0) - condition.slowness);
+  condition.slowness += kSmoothing * (std::min(ratio, kMaxSmoothedRatio) - condition.slowness);
   condition.slowness_at = now;
 }
 
