Share the opening of acceptors; use the project's names for coverage and prefix

Cause: the gateway opened its acceptor by a copy of the HTTP server's code, and two fields outside platform/ carried the platform's names. Change: http::OpenAcceptor and LocalAddress serve both; required_coverage and prefix. Measured: no change of behaviour; the programs build.

--- a/include/peridotfork/catalogue/catalogue.h
+++ b/include/peridotfork/catalogue/catalogue.h
@@ -37,13 +37,13 @@
   std::vector<ServiceId> shards;
   std::uint32_t top_records = 0;
   // Least share of the shards that a successful answer contains.
-  double min_coverage = 1;
+  double required_coverage = 1;
 };
 
 struct Route {
   RouteId id;
   std::string host;
-  std::string path_prefix;
+  std::string prefix;
   Repeatability repeatability = Repeatability::kIdempotent;
   // Longest time that a caller is kept waiting.
   std::chrono::milliseconds timeout{0};
--- a/include/peridotfork/fanout/fan_out.h
+++ b/include/peridotfork/fanout/fan_out.h
@@ -19,7 +19,7 @@
   // Targets of one shard that may run the request.
   std::uint32_t max_attempts = 1;
   bool idempotent = true;
-  double min_coverage = 1;
+  double required_coverage = 1;
   std::chrono::nanoseconds hedge_delay{0};
   // From here on, an answer with enough shards is not held back for more.
   BootTime settle_at;
@@ -51,7 +51,7 @@
 std::string_view FanOutOutcomeName(FanOutOutcome outcome);
 
 // Shards that a success needs: at least one.
-std::size_t RequiredShards(std::size_t shards, double min_coverage);
+std::size_t RequiredShards(std::size_t shards, double required_coverage);
 
 // State machine of one request over its shards: when to send first attempts,
 // retries and hedges, and when the answer is final. A request for one service is
@@ -109,7 +109,7 @@
 
   // What to send to the shard now; marks it if nothing more can be sent.
   std::optional<AttemptPurpose> NextFor(Shard& shard, BootTime now);
-  std::size_t required() const { return RequiredShards(shards_.size(), plan_.min_coverage); }
+  std::size_t required() const { return RequiredShards(shards_.size(), plan_.required_coverage); }
   bool CanHedge(const Shard& shard) const;
 
   const FanOutPlan plan_;
--- a/include/peridotfork/gateway/gateway.h
+++ b/include/peridotfork/gateway/gateway.h
@@ -65,7 +65,6 @@
   void AnswerReady(const http::Request& request, const http::Responder& respond);
   void AnswerMetrics(const http::Request& request, const http::Responder& respond);
 
-  Result<void> Listen();
   void Accept();
   void OpenSession(Tcp::socket socket);
   void OnDirectory(const FleetDirectory& directory);
--- a/include/peridotfork/http/server.h
+++ b/include/peridotfork/http/server.h
@@ -16,6 +16,12 @@
 
 namespace peridotfork::http {
 
+// Opens, binds and listens. Port 0 lets the system choose.
+Result<void> OpenAcceptor(const Address& address, boost::asio::ip::tcp::acceptor& acceptor);
+
+// Address on which an acceptor listens.
+Address LocalAddress(const boost::asio::ip::tcp::acceptor& acceptor);
+
 struct ServerOptions {
   // A larger body is refused with 413.
   std::uint64_t body_limit = std::uint64_t{64} * 1024;
--- a/src/catalogue/catalogue.cc
+++ b/src/catalogue/catalogue.cc
@@ -25,7 +25,7 @@
     services_.emplace(std::move(id), std::move(service));
   }
   for (std::size_t i = 0; i < routes_.size(); ++i) {
-    by_prefix_.emplace(PrefixKey(routes_[i].host, routes_[i].path_prefix), i);
+    by_prefix_.emplace(PrefixKey(routes_[i].host, routes_[i].prefix), i);
   }
 }
 
--- a/src/fanout/fan_out.cc
+++ b/src/fanout/fan_out.cc
@@ -16,10 +16,10 @@
   return kOutcomeNames[static_cast<std::size_t>(outcome)];
 }
 
-std::size_t RequiredShards(std::size_t shards, double min_coverage) {
+std::size_t RequiredShards(std::size_t shards, double required_coverage) {
   // Keeps a coverage such as 0.9 of 10 from being rounded up to 10.
   constexpr double kRounding = 1e-9;
-  const double share = min_coverage * static_cast<double>(shards);
+  const double share = required_coverage * static_cast<double>(shards);
   return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(share - kRounding)));
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -6,8 +6,6 @@
 #include <string_view>
 #include <utility>
 
-#include "peridotfork/http/client.h"
-
 namespace peridotfork {
 namespace {
 
@@ -69,7 +67,9 @@
 Result<void> Gateway::Start() {
   BOOST_OUTCOME_TRYV(status_server_.Listen(settings_.http_address));
   BOOST_OUTCOME_TRYV(metrics_server_.Listen(settings_.metrics_address));
-  BOOST_OUTCOME_TRYV(Listen());
+  BOOST_OUTCOME_TRYV(http::OpenAcceptor(settings_.ingress_address, acceptor_));
+  accepting_ = true;
+  Accept();
   connections_.Start();
   follower_.Start();
   return boost::outcome_v2::success();
@@ -89,35 +89,8 @@
   return boost::outcome_v2::success();
 }
 
-Result<void> Gateway::Listen() {
-  const auto endpoint = http::ParseEndpoint(settings_.ingress_address);
-  if (!endpoint.has_value()) {
-    return endpoint.error();
-  }
-  boost::system::error_code error;
-  acceptor_.open(endpoint.value().protocol(), error);
-  if (!error) {
-    acceptor_.set_option(asio::socket_base::reuse_address(true), error);
-  }
-  if (!error) {
-    acceptor_.bind(endpoint.value(), error);
-  }
-  if (!error) {
-    acceptor_.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return MakeError(ErrorKind::kTransport, "listen on " + settings_.ingress_address.value(),
-                     error.message());
-  }
-  accepting_ = true;
-  Accept();
-  return boost::outcome_v2::success();
-}
-
 Address Gateway::ingress_address() const {
-  boost::system::error_code error;
-  const Tcp::endpoint endpoint = acceptor_.local_endpoint(error);
-  return Address(endpoint.address().to_string() + ":" + std::to_string(endpoint.port()));
+  return http::LocalAddress(acceptor_);
 }
 
 void Gateway::Accept() {
@@ -234,7 +207,7 @@
 bool Gateway::CanSucceed(const RoutedRequest& request) const {
   const auto usable = static_cast<std::size_t>(std::ranges::count_if(
       request.services, [this](const ServiceId& id) { return targets_.HasTargets(id); }));
-  const double coverage = request.route->gather ? request.route->gather->min_coverage : 1;
+  const double coverage = request.route->gather ? request.route->gather->required_coverage : 1;
   return usable >= RequiredShards(request.services.size(), coverage);
 }
 
--- a/src/gateway/request_runner.cc
+++ b/src/gateway/request_runner.cc
@@ -52,7 +52,7 @@
   plan.shards = request.services.size();
   plan.max_attempts = route.max_attempts;
   plan.idempotent = route.gather || route.repeatability == Repeatability::kIdempotent;
-  plan.min_coverage = route.gather ? route.gather->min_coverage : 1;
+  plan.required_coverage = route.gather ? route.gather->required_coverage : 1;
   plan.hedge_delay = targets.HedgeDelay(route);
   plan.settle_at = request.start + route.objective - kCallerTransit;
   plan.place_until = request.start + Scale(route.objective, kPlaceShare);
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -204,44 +204,53 @@
 
 }  // namespace
 
-Server::Server(asio::io_context& context, ServerOptions options, Handler& handler)
-    : context_(context),
-      acceptor_(asio::make_strand(context)),
-      shared_(new Shared(options, handler)) {}
-
-Server::~Server() {
-  Stop();
-}
-
-Result<void> Server::Listen(const Address& address) {
+Result<void> OpenAcceptor(const Address& address, Tcp::acceptor& acceptor) {
   const auto endpoint = ParseEndpoint(address);
   if (!endpoint.has_value()) {
     return endpoint.error();
   }
   beast::error_code error;
-  acceptor_.open(endpoint.value().protocol(), error);
+  acceptor.open(endpoint.value().protocol(), error);
   if (!error) {
-    acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+    acceptor.set_option(asio::socket_base::reuse_address(true), error);
   }
   if (!error) {
-    acceptor_.bind(endpoint.value(), error);
+    acceptor.bind(endpoint.value(), error);
   }
   if (!error) {
-    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    acceptor.listen(asio::socket_base::max_listen_connections, error);
   }
   if (error) {
     return MakeError(ErrorKind::kTransport, "listen on " + address.value(), error.message());
   }
-  Accept();
   return boost::outcome_v2::success();
 }
 
-Address Server::address() const {
+Address LocalAddress(const Tcp::acceptor& acceptor) {
   beast::error_code error;
-  const Tcp::endpoint endpoint = acceptor_.local_endpoint(error);
+  const Tcp::endpoint endpoint = acceptor.local_endpoint(error);
   return Address(endpoint.address().to_string() + ":" + std::to_string(endpoint.port()));
 }
 
+Server::Server(asio::io_context& context, ServerOptions options, Handler& handler)
+    : context_(context),
+      acceptor_(asio::make_strand(context)),
+      shared_(new Shared(options, handler)) {}
+
+Server::~Server() {
+  Stop();
+}
+
+Result<void> Server::Listen(const Address& address) {
+  BOOST_OUTCOME_TRYV(OpenAcceptor(address, acceptor_));
+  Accept();
+  return boost::outcome_v2::success();
+}
+
+Address Server::address() const {
+  return LocalAddress(acceptor_);
+}
+
 void Server::Stop() {
   shared_->stopping = true;
   beast::error_code ignored;
--- a/src/platform/catalogue_codec.cc
+++ b/src/platform/catalogue_codec.cc
@@ -61,7 +61,7 @@
     reader.Fail(ErrorKind::kOutOfRange, reader.Path("gather"));
   }
   gather.top_records = reader.NonNegative<std::uint32_t>("top_k");
-  gather.min_coverage = reader.NonNegative<double>("min_coverage");
+  gather.required_coverage = reader.NonNegative<double>("min_coverage");
   return gather;
 }
 
@@ -69,7 +69,7 @@
   Route route;
   route.id = RouteId(reader.String("name"));
   route.host = reader.String("host");
-  route.path_prefix = reader.String("path_prefix");
+  route.prefix = reader.String("path_prefix");
   route.timeout = ReadMilliseconds(reader, "timeout_ms");
   route.objective = ReadMilliseconds(reader, "target_latency_ms");
   route.max_attempts = std::max(1U, reader.NonNegative<std::uint32_t>("max_attempts"));
--- a/test/catalogue/catalogue_test.cc
+++ b/test/catalogue/catalogue_test.cc
@@ -12,7 +12,7 @@
   Route route;
   route.id = RouteId(id);
   route.host = host;
-  route.path_prefix = prefix;
+  route.prefix = prefix;
   route.services = {{ServiceId("s"), 1}};
   return route;
 }
--- a/test/fanout/fan_out_test.cc
+++ b/test/fanout/fan_out_test.cc
@@ -12,11 +12,11 @@
 
 const BootTime kStart{std::chrono::hours(1)};
 
-FanOutPlan Plan(std::size_t shards, double min_coverage = 1) {
+FanOutPlan Plan(std::size_t shards, double required_coverage = 1) {
   FanOutPlan plan;
   plan.shards = shards;
   plan.max_attempts = 2;
-  plan.min_coverage = min_coverage;
+  plan.required_coverage = required_coverage;
   plan.hedge_delay = milliseconds(40);
   plan.settle_at = kStart + milliseconds(110);
   plan.place_until = kStart + milliseconds(20);
@@ -189,7 +189,7 @@
     const double share =
         static_cast<double>(fan_out.answered_count()) / static_cast<double>(plan.shards);
     if (*outcome == FanOutOutcome::kPartial) {
-      CHECK(share >= plan.min_coverage - 1e-9);
+      CHECK(share >= plan.required_coverage - 1e-9);
       CHECK(fan_out.answered_count() > 0);
     }
     CHECK((*outcome == FanOutOutcome::kComplete) == (share == 1));
--- a/test/gateway/gateway_test.cc
+++ b/test/gateway/gateway_test.cc
@@ -66,7 +66,7 @@
   Route route;
   route.id = RouteId("single");
   route.host = "single.example";
-  route.path_prefix = "/one/";
+  route.prefix = "/one/";
   route.repeatability = repeatability;
   route.timeout = milliseconds(1000);
   route.objective = milliseconds(400);
@@ -75,18 +75,18 @@
   return route;
 }
 
-Route GatherRoute(std::size_t shards, double min_coverage) {
+Route GatherRoute(std::size_t shards, double required_coverage) {
   Route route = SingleRoute(Repeatability::kIdempotent);
   route.id = RouteId("gather");
   route.host = "gather.example";
-  route.path_prefix = "/all/";
+  route.prefix = "/all/";
   route.services.clear();
   route.gather.emplace();
   for (std::size_t i = 0; i < shards; ++i) {
     route.gather->shards.emplace_back("shard-" + std::to_string(i));
   }
   route.gather->top_records = 3;
-  route.gather->min_coverage = min_coverage;
+  route.gather->required_coverage = required_coverage;
   return route;
 }
 
--- a/test/platform/catalogue_codec_test.cc
+++ b/test/platform/catalogue_codec_test.cc
@@ -22,7 +22,7 @@
   REQUIRE(gather->gather);
   CHECK(gather->gather->shards.size() == 2);
   CHECK(gather->gather->top_records == 5);
-  CHECK(gather->gather->min_coverage == doctest::Approx(0.75));
+  CHECK(gather->gather->required_coverage == doctest::Approx(0.75));
   CHECK(gather->objective == std::chrono::milliseconds(60));
   CHECK(gather->repeatability == Repeatability::kIdempotent);
   const Route* single = catalogue.FindRoute("hufi27.example", "/goka/1");
