Lock what the gateway's test doubles share

Cause: thread sanitizer on gateway_test, connection_test and store_follower_test reported 13 races, all in the test doubles: a store that listed without its lock, and sockets that one thread closed while another shut them down. None named code of the gateway. Change: both take a lock; a vector of a test is reserved for the linter.

--- a/test/balance/target_table_test.cc
+++ b/test/balance/target_table_test.cc
@@ -216,8 +216,10 @@
     CAPTURE(seed);
     std::mt19937 random(seed);
     Fixture fixture;
+    constexpr int kTargets = 5;
     std::vector<TargetEntry> entries;
-    for (int i = 0; i < 5; ++i) {
+    entries.reserve(kTargets);
+    for (int i = 0; i < kTargets; ++i) {
       entries.push_back(Entry(std::to_string(i), random() % 2 == 0 ? "here" : "there"));
     }
     fixture.Update(entries);
--- a/test/gateway/gateway_test.cc
+++ b/test/gateway/gateway_test.cc
@@ -29,7 +29,14 @@
  public:
   explicit PushStore(WorkerPool& pool) : pool_(pool) {}
 
-  void List(const std::string&, Callback done) override { done(Next()); }
+  void List(const std::string&, Callback done) override {
+    StoreReply reply;
+    {
+      const std::lock_guard lock(mutex_);
+      reply = Next();
+    }
+    done(std::move(reply));
+  }
   void Watch(StoreRevision, milliseconds, Callback done) override {
     const std::lock_guard lock(mutex_);
     waiting_ = std::move(done);
--- a/test/upstream/scripted_target.h
+++ b/test/upstream/scripted_target.h
@@ -8,7 +8,8 @@
 #include <boost/asio/write.hpp>
 #include <chrono>
 #include <functional>
-#include <optional>
+#include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -45,8 +46,11 @@
     boost::system::error_code ignored;
     Tcp::socket(context_).connect(acceptor_.local_endpoint(), ignored);
     thread_.join();
-    for (const auto& socket : sockets_) {
-      socket->shutdown(Tcp::socket::shutdown_both, ignored);
+    {
+      const std::lock_guard lock(close_mutex_);
+      for (const auto& socket : sockets_) {
+        socket->shutdown(Tcp::socket::shutdown_both, ignored);
+      }
     }
     for (std::thread& worker : workers_) {
       worker.join();
@@ -88,6 +92,7 @@
       buffer.erase(0, size);
       std::this_thread::sleep_for(action.delay);
       boost::asio::write(socket, boost::asio::buffer(action.bytes), error);
+      const std::lock_guard lock(close_mutex_);
       if (action.after == TargetAction::After::kReset) {
         socket.set_option(boost::asio::socket_base::linger(true, 0), error);
       }
@@ -101,6 +106,8 @@
   const Script script_;
   boost::asio::io_context context_;
   Tcp::acceptor acceptor_;
+  // Guards the closing of sockets.
+  std::mutex close_mutex_;
   std::atomic<bool> stopping_ = false;
   std::atomic<int> connections_ = 0;
   std::atomic<int> requests_ = 0;
