--- a/test/discovery/store_follower_test.cc
+++ b/test/discovery/store_follower_test.cc
@@ -75,7 +75,7 @@
 struct Fixture {
   std::vector<std::string> Run(std::size_t calls) {
     follower.Start();
-    const std::vector<std::string> made = store.WaitForCalls(calls);
+    std::vector<std::string> made = store.WaitForCalls(calls);
     follower.Stop();
     pool.Stop();
     return made;
