--- a/src/program/daemon.cc
+++ b/src/program/daemon.cc
@@ -129,6 +129,15 @@
   return signals;
 }
 
+// Blocks the signals before the libraries are initialized. A reload or stop signal that arrives
+// until main() runs would otherwise end the process; now it stays pending and is handled there.
+void BlockSignalsEarly(int /*argc*/, char** /*argv*/, char** /*environment*/) {
+  BlockSignals();
+}
+
+[[gnu::section(".preinit_array"),
+  gnu::used]] void (*const kBlockSignalsEarly)(int, char**, char**) = &BlockSignalsEarly;
+
 }  // namespace
 
 std::optional<int> ReadArguments(int argc,
