Refuse entries with numbers or addresses that no target can have

Tried here: nesting of 200,000 levels, numbers too large, ports out of range. No input ended a process, but some were taken: slots = 2^32 + 1 became 1, a cold time of 2^53 ms overflowed the clock arithmetic, an address without a valid port stayed a target that failed each attempt, and a start or sequence number of 2^53 under the key of a target made all later reports of that target look older, so it was lost until its entry was removed.

Change: each number is bounded by its type and meaning; durations by a week; addresses must be an IPv4 address and a port from 1 to 65535. FleetDirectory drops entries that claim a start in the future or more reports than time allows.

--- a/include/peridotfork/discovery/fleet_directory.h
+++ b/include/peridotfork/discovery/fleet_directory.h
@@ -54,6 +54,9 @@
   void On(const TargetRemoved& change);
   void On(const DataCentreDrain& change);
   void Remove(const TargetId& id);
+  // Whether the target can have started and reported as the entry says. Another writer's entry
+  // with a start in the future would make all reports of the real target look older.
+  bool IsPlausible(const TargetEntry& entry) const;
   bool IsMassRemoval(const std::vector<TargetId>& removed) const;
 
   const Clock& clock_;
--- a/include/peridotfork/internal/platform/json_reader.h
+++ b/include/peridotfork/internal/platform/json_reader.h
@@ -1,9 +1,11 @@
 #ifndef PERIDOTFORK_INTERNAL_PLATFORM_JSON_READER_H_
 #define PERIDOTFORK_INTERNAL_PLATFORM_JSON_READER_H_
 
+#include <algorithm>
 #include <cmath>
 #include <concepts>
 #include <cstdint>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
@@ -38,9 +40,9 @@
     return value == nullptr ? std::string() : value->get<std::string>();
   }
 
-  // Reads a number of at least 0. Fractions are rejected for integral types.
+  // Reads a number from 0 to `max`. Fractions are rejected for integral types.
   template <typename Number>
-  Number NonNegative(const char* name) {
+  Number NonNegative(const char* name, double max = MaxOf<Number>()) {
     const nlohmann::json* const value = Find(name);
     if (value == nullptr) {
       return 0;
@@ -50,7 +52,7 @@
       return 0;
     }
     const double number = value->get<double>();
-    if (!std::isfinite(number) || number < 0 || number > kMaxNumber) {
+    if (!std::isfinite(number) || number < 0 || number > max) {
       Fail(ErrorKind::kOutOfRange, Path(name));
       return 0;
     }
@@ -80,6 +82,11 @@
   // 2^53: integers from 0 to this value are represented exactly by a double.
   static constexpr double kMaxNumber = 9007199254740992.0;
 
+  template <typename Number>
+  static constexpr double MaxOf() {
+    return std::min(kMaxNumber, static_cast<double>(std::numeric_limits<Number>::max()));
+  }
+
   const nlohmann::json* Find(const char* name) {
     if (failed()) {
       return nullptr;
--- a/src/discovery/fleet_directory.cc
+++ b/src/discovery/fleet_directory.cc
@@ -1,10 +1,14 @@
 #include "peridotfork/discovery/fleet_directory.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace peridotfork {
 namespace {
 
+// Tolerance for the difference between the clocks of this host and of targets.
+constexpr std::chrono::hours kMaxClockDifference{1};
+
 // Whether `entry` is an older report than `known` of the same target.
 bool IsOlder(const TargetEntry& entry, const TargetEntry& known) {
   if (entry.started_ms != known.started_ms) {
@@ -92,7 +96,23 @@
   }
 }
 
+bool FleetDirectory::IsPlausible(const TargetEntry& entry) const {
+  using std::chrono::milliseconds;
+  if (!entry.started_ms) {
+    return true;
+  }
+  const auto now = std::chrono::duration_cast<milliseconds>(clock_.wall_now().time_since_epoch() +
+                                                            kMaxClockDifference);
+  const auto latest = static_cast<std::uint64_t>(std::max<std::int64_t>(0, now.count()));
+  // A target reports at most once a millisecond.
+  return *entry.started_ms <= latest && entry.sequence <= latest - *entry.started_ms;
+}
+
 void FleetDirectory::On(const TargetReported& change) {
+  if (!IsPlausible(change.entry)) {
+    Remove(change.entry.id);
+    return;
+  }
   const auto known = targets_.find(change.entry.id);
   if (known == targets_.end()) {
     targets_.emplace(change.entry.id, change.entry);
--- a/src/platform/catalogue_codec.cc
+++ b/src/platform/catalogue_codec.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "peridotfork/config/units.h"
 #include "peridotfork/internal/platform/json_reader.h"
 
 namespace peridotfork::platform {
@@ -18,8 +19,23 @@
 constexpr std::string_view kReady = "ready";
 constexpr std::string_view kDraining = "draining";
 
+// Limit for all durations, so that they can be added to any time. No value of the platform comes
+// near it.
+constexpr std::chrono::hours kMaxDuration{24 * 7};
+// Limit for the slots of one target.
+constexpr double kMaxSlots = 1e6;
+
 milliseconds ReadMilliseconds(JsonReader& reader, const char* name) {
-  return milliseconds(static_cast<std::int64_t>(reader.NonNegative<double>(name)));
+  constexpr auto kMax = static_cast<double>(milliseconds(kMaxDuration).count());
+  return milliseconds(static_cast<std::int64_t>(reader.NonNegative<double>(name, kMax)));
+}
+
+Address ReadAddress(JsonReader& reader) {
+  Address address(reader.String("address"));
+  if (!reader.failed() && !ParseAddress(address.value()).has_value()) {
+    reader.Fail(ErrorKind::kMalformed, reader.Path("address"));
+  }
+  return address;
 }
 
 Repeatability ReadRepeatability(JsonReader& reader) {
@@ -155,9 +171,9 @@
   TargetEntry entry;
   entry.id = id;
   entry.service = ServiceId(reader.String("backend"));
-  entry.address = Address(reader.String("address"));
+  entry.address = ReadAddress(reader);
   entry.data_centre = DataCentreId(reader.String("zone"));
-  entry.slots = Slots(reader.NonNegative<std::uint32_t>("slots"));
+  entry.slots = Slots(reader.NonNegative<std::uint32_t>("slots", kMaxSlots));
   entry.cold_time_left = ReadMilliseconds(reader, "cold_left_ms");
   entry.sequence = reader.NonNegative<std::uint64_t>("seq");
   if (reader.Has("born")) {
--- a/test/discovery/fleet_directory_test.cc
+++ b/test/discovery/fleet_directory_test.cc
@@ -44,6 +44,22 @@
   CHECK(directory.targets().front().draining);
 }
 
+// Another writer may leave an entry with numbers that are too large under the key of a target.
+TEST_CASE("an entry with an impossible start or sequence number does not block later reports") {
+  const ManualClock clock;
+  for (const TargetEntry& odd : {Entry("a", std::uint64_t{1} << 53, 1), Entry("a", 100, 1ULL << 53),
+                                 Entry("a", 3'000'000'000'000, 1)}) {
+    FleetDirectory directory(clock);
+    directory.Apply({TargetReported{Entry("a", 100, 6)}, TargetReported{Entry("b", 100, 6)}});
+    directory.Apply({TargetReported{odd}});
+    REQUIRE(directory.targets().size() == 1);
+    CHECK(directory.targets().front().id == TargetId("b"));
+    directory.Apply({TargetReported{Entry("a", 100, 7)}});
+    REQUIRE(directory.targets().size() == 2);
+    CHECK(directory.targets().front().sequence == 7);
+  }
+}
+
 TEST_CASE("a target restarted under its id may report a lower sequence number") {
   const ManualClock clock;
   FleetDirectory directory(clock);
--- a/test/platform/catalogue_codec_test.cc
+++ b/test/platform/catalogue_codec_test.cc
@@ -91,6 +91,67 @@
   }
 }
 
+// Entries that another writer may leave among those of the targets.
+TEST_CASE("an odd entry names no target and ends no process") {
+  using nlohmann::json;
+  constexpr std::size_t kDepth = 200'000;
+  const std::string nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+  const std::string objects = [] {
+    std::string text;
+    for (std::size_t i = 0; i < kDepth; ++i) {
+      text += R"({"a":)";
+    }
+    return text + "1" + std::string(kDepth, '}');
+  }();
+  const std::string head = std::string(kTargetText, sizeof kTargetText - 2);
+  const std::vector<std::string> odd = {
+      nested,
+      objects,
+      std::string(kDepth, '['),
+      head + R"(,"slots":)" + nested + "}",
+      head + R"(,"state":)" + objects + "}",
+      head + R"(,"seq":1e400})",
+      head + R"(,"seq":-1})",
+      head + R"(,"seq":18446744073709551616})",
+      head + R"(,"born":1e300})",
+      head + R"(,"born":1.5})",
+      head + R"(,"slots":4294967297})",
+      head + R"(,"slots":1e300})",
+      head + R"(,"slots":)" + std::string(100'000, '9') + "}",
+      head + R"(,"cold_left_ms":9007199254740991})",
+      head + R"(,"cold_left_ms":1e308})",
+      head + R"(,"address":"10.128.0.9:99999"})",
+      head + R"(,"address":"10.128.0.9:65536"})",
+      head + R"(,"address":"10.128.0.9:0"})",
+      head + R"(,"address":"10.128.0.9:-1"})",
+      head + R"(,"address":"10.128.0.9"})",
+      head + R"(,"address":"10.128.0.999:80"})",
+      head + R"(,"address":""})",
+      head + R"(,"backend":null})",
+      std::string(1 << 20, '\0'),
+  };
+  for (std::size_t i = 0; i < odd.size(); ++i) {
+    CAPTURE(i);
+    CHECK_FALSE(DecodeTargetEntry(TargetId("i-1"), odd[i]).has_value());
+  }
+  // Unknown fields are ignored, whatever they contain.
+  CHECK(DecodeTargetEntry(TargetId("i-1"), head + R"(,"other":)" + nested + "}").has_value());
+}
+
+TEST_CASE("a configuration with a number that is too large is refused") {
+  using nlohmann::json;
+  for (const char* pointer :
+       {"/routes/0/timeout_ms", "/routes/0/target_latency_ms", "/limits/idle_timeout_ms",
+        "/routes/0/max_attempts", "/services/0/max_conns"}) {
+    CAPTURE(pointer);
+    json document = json::parse(kConfigurationText);
+    document[json::json_pointer(pointer)] = 9007199254740991;
+    const Result<CataloguePtr> decoded = DecodeCatalogue(document.dump());
+    REQUIRE_FALSE(decoded.has_value());
+    CHECK(decoded.error().kind() == ErrorKind::kOutOfRange);
+  }
+}
+
 TEST_CASE("mutated configurations and target entries are decoded or refused without a crash") {
   int refused = 0;
   for (unsigned seed = 0; seed < 2000; ++seed) {
