--- a/include/peridotfork/balance/target.h
+++ b/include/peridotfork/balance/target.h
@@ -42,6 +42,15 @@
   Slots slots{1};
 };
 
+// What a target said about itself along with an answer.
+struct TargetSignals {
+  std::optional<LoadReport> load;
+  // The target is leaving and wants no further requests.
+  bool leaving = false;
+  // Set by a target that rejected a request: it wants no requests from this host for so long.
+  std::optional<std::chrono::milliseconds> hold;
+};
+
 // One attempt to run a request on one target. Begins when the target is chosen.
 struct Attempt : boost::intrusive_ref_counter<Attempt>, boost::intrusive::list_base_hook<> {
   Attempt(TargetPtr chosen, BootTime started);
@@ -62,6 +71,11 @@
   TargetEntry entry;
   // The target is draining or its data centre is drained: it accepts no new work.
   bool closed = false;
+  // The target has said that it is leaving. Never reset: whatever the store repeats about this
+  // incarnation is older than what the target itself said.
+  bool leaving = false;
+  // Until this time the target gets nothing at all, because it has asked for that.
+  BootTime hold_until;
   // Another target now uses the address. Never reset: a new incarnation of the
   // target gets a new condition.
   bool misdirected = false;
--- a/include/peridotfork/balance/target_score.h
+++ b/include/peridotfork/balance/target_score.h
@@ -39,6 +39,9 @@
 std::string_view TargetHealthName(TargetHealth health);
 TargetHealth HealthOf(const TargetCondition& condition, BootTime now);
 
+// Whether the target may be sent requests at all, now or after its hold has ended.
+bool IsOpen(const TargetCondition& condition);
+
 // Whether the target may be sent one more request now.
 bool MayTakeWork(const TargetCondition& condition, BootTime now);
 
@@ -46,6 +49,9 @@
 // rate limit. Used when MayTakeWork() allows no target.
 bool MayTakeAsLastResort(const TargetCondition& condition, BootTime now);
 
+// Updates the condition with what the target said about itself.
+void RecordSignals(TargetCondition& condition, const TargetSignals& signals, BootTime now);
+
 // Updates the condition with the outcome of `attempt`.
 void RecordOutcome(TargetCondition& condition,
                    const Attempt& attempt,
--- a/include/peridotfork/balance/target_table.h
+++ b/include/peridotfork/balance/target_table.h
@@ -2,6 +2,7 @@
 #define PERIDOTFORK_BALANCE_TARGET_TABLE_H_
 
 #include <cstddef>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -73,7 +74,7 @@
 
   // Records the outcome of an attempt. Further calls for the same attempt have no
   // effect.
-  void Finish(Attempt& attempt, AttemptOutcome end, const std::optional<LoadReport>& load);
+  void Finish(Attempt& attempt, AttemptOutcome end, const TargetSignals& signals = {});
 
   // Records the latency of one answer on the route.
   void ObserveRoute(const Route& route, std::chrono::nanoseconds time);
@@ -81,9 +82,9 @@
   // Delay after which an attempt that is sent now should be hedged.
   std::chrono::nanoseconds HedgeDelay(const Route& route) const;
 
-  // Whether the service has a target that is not closed, i.e. one that may be sent
-  // requests now or soon.
-  bool HasTargets(const ServiceId& service) const;
+  // When the service has a target that may be sent requests, holds considered: a time in the
+  // past if it has one now, BootTime::max() if all its targets are closed or leaving.
+  BootTime OpensAt(const ServiceId& service) const;
 
   // Maximum number of connections to the target that this process may use.
   std::size_t ConnectionShare(const Target& target) const;
@@ -106,6 +107,13 @@
                         BootTime now,
                         bool (*may_take)(const TargetCondition&, BootTime)) const;
 
+  // Returns the target of the entry if it is known, also if it has been removed meanwhile.
+  TargetPtr FindIncarnation(const TargetEntry& entry) const;
+  // Remembers a removed target if it must not be used again.
+  void RememberDeparted(const TargetPtr& target, BootTime now);
+
+  // Logs what a target said about itself, before it is recorded.
+  void LogSignals(const Target& target, const TargetSignals& signals);
   // Logs a change of the target's health.
   void LogHealthChange(const Target& target, TargetHealth before, BootTime now);
   void LogMembership(const std::map<TargetId, TargetPtr>& kept);
@@ -117,6 +125,10 @@
   const BalanceOptions options_;
   mutable RankedMutex mutex_{LockRank::kTargets};
   std::map<TargetId, TargetPtr> targets_;
+  // Removed targets that must not be used again if the store lists the same incarnation once
+  // more, and the order in which they were removed.
+  std::map<TargetId, TargetPtr> departed_;
+  std::deque<TargetPtr> departed_order_;
   std::map<ServiceId, ServiceTargets> services_;
   routing::LatencyTracker route_times_;
 };
--- a/include/peridotfork/config/settings.h
+++ b/include/peridotfork/config/settings.h
@@ -64,6 +64,8 @@
   // Inner addresses of the processes through which all others are discovered.
   std::vector<Address> seeds;
   std::uint32_t max_in_flight = 0;
+  // Memory in MiB that this process may use.
+  std::uint32_t memory_mib = 256;
 };
 
 // The keys of a program's settings, in the order of printing.
--- a/include/peridotfork/gateway/gateway.h
+++ b/include/peridotfork/gateway/gateway.h
@@ -75,8 +75,9 @@
   void OpenSession(Tcp::socket socket);
   void OnDirectory(const FleetDirectory& directory);
   std::vector<ServiceId> SelectServices(const Route& route);
-  // Whether enough services of the request have targets for the request to succeed.
-  bool CanSucceed(const RoutedRequest& request) const;
+  // Time until enough services of the request have targets that accept requests; zero if they
+  // have some now or soon enough for the request to wait.
+  std::chrono::milliseconds TimeToEnoughTargets(const RoutedRequest& request) const;
   // Time for which the request stays quarantined for crashing targets; zero if it may run.
   std::chrono::nanoseconds QuarantineRemaining(const http::RawRequest& request) const;
   void OnPeerMessage(const protocol::Envelope& envelope);
--- a/include/peridotfork/gateway/message_codec.h
+++ b/include/peridotfork/gateway/message_codec.h
@@ -11,6 +11,7 @@
 #include "peridotfork/core/error.h"
 #include "peridotfork/core/ids.h"
 #include "peridotfork/http/raw_message.h"
+#include "peridotfork/upstream/answer_memory.h"
 
 namespace peridotfork {
 
@@ -33,8 +34,11 @@
   std::string signature;
   // The body was transformed and is not in the form that the target produced.
   bool transformed = false;
-  std::optional<LoadReport> load;
+  // What the target said about itself.
+  TargetSignals signals;
   http::RawResponse message;
+  // Memory that the message occupies.
+  AnswerMemory::Reservation memory;
 };
 
 // The merged response of a fan-out.
--- a/include/peridotfork/gateway/request_runner.h
+++ b/include/peridotfork/gateway/request_runner.h
@@ -47,6 +47,9 @@
   BootTime start;
 };
 
+// Time for which a request of the route waits for a usable target.
+std::chrono::nanoseconds PlacementWindow(const Route& route);
+
 // Runs one request: sends the attempts requested by its FanOut and responds to the caller once.
 // Lives until all its attempts have ended. Thread-safe.
 class RequestRunner : public boost::intrusive_ref_counter<RequestRunner> {
@@ -80,6 +83,8 @@
   // Sends the attempts that are due now, and responds if the outcome is final. Requires the lock.
   void Advance();
   void Send(const FanOut::AttemptSpec& spec, BootTime now);
+  // Maximum size of the answer of one target.
+  Bytes MaxAnswer() const;
   void OnExchange(std::size_t shard, const AttemptPtr& attempt, ExchangeResult result);
   // Checks whether the target that lost the attempt still accepts connections. Done at most
   // twice for each request: after the first loss, and after the loss of an attempt that was sent
--- a/include/peridotfork/http/client.h
+++ b/include/peridotfork/http/client.h
@@ -62,6 +62,9 @@
   void Close();
 
  private:
+  // Maximum number of received bytes that are not yet parsed, such as an incomplete header.
+  static constexpr std::size_t kBufferLimit = 65536;
+
   using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
   using HttpParser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
@@ -72,7 +75,7 @@
   const Address address_;
   const std::uint64_t body_limit_;
   boost::beast::tcp_stream stream_;
-  boost::beast::flat_buffer buffer_;
+  boost::beast::flat_buffer buffer_{kBufferLimit};
   HttpRequest request_;
   std::optional<HttpParser> parser_;
 };
--- a/include/peridotfork/runtime/lock_rank.h
+++ b/include/peridotfork/runtime/lock_rank.h
@@ -17,6 +17,8 @@
   kTargets = 50,
   // Pooled connections to one target.
   kConnections = 55,
+  // Memory for the answers of targets.
+  kAnswerMemory = 57,
   kQueries = 60,
   kLedger = 70,
   kTransport = 75,
--- a/include/peridotfork/upstream/connection.h
+++ b/include/peridotfork/upstream/connection.h
@@ -18,7 +18,9 @@
 
 #include "peridotfork/balance/target.h"
 #include "peridotfork/core/clock.h"
+#include "peridotfork/core/units.h"
 #include "peridotfork/http/raw_message.h"
+#include "peridotfork/upstream/answer_memory.h"
 
 namespace peridotfork {
 
@@ -37,6 +39,8 @@
 struct ExchangeResult {
   ExchangeState state = ExchangeState::kNotConnected;
   http::RawResponse response;
+  // Memory that the response occupies beyond its first bytes, for as long as it is kept.
+  AnswerMemory::Reservation memory;
   std::string detail;
 };
 
@@ -46,6 +50,8 @@
   // Whether an answer belongs to this request. A target may send a second answer to an
   // earlier request on the same connection.
   std::function<bool(const http::RawResponse&)> matches;
+  // A longer body ends the exchange as lost.
+  Bytes max_body{1 << 20};
   // Called exactly once, on a worker thread.
   std::function<void(ExchangeResult)> done;
 };
@@ -66,6 +72,9 @@
   // by `end`, the connection is closed, so that the target drops the request.
   void Abandon(std::uint64_t number, BootTime end);
 
+  // Closes the connection, which the pool has just stopped to offer for exchanges.
+  void CloseIdle();
+
   // Closes the connection if close_at() has passed.
   void CloseIfOverdue();
 
@@ -80,8 +89,16 @@
   void Connect();
   void OnConnected(const boost::system::error_code& error);
   void Write();
+  void BeginAnswer();
   void WaitForBytes();
+  // Memory that must be reserved before the next bytes are read: for the whole answer if its length
+  // is known.
+  std::size_t MemoryNeeded() const;
+  // Whether the next bytes may be read now. If memory for answers is used up, reading continues
+  // when some has been released.
+  bool MayRead();
   void ReadBytes();
+  void ParseBytes();
   void OnEof();
   void OnMessage();
   void Finish(ExchangeState state, std::string detail);
@@ -104,6 +121,10 @@
   std::uint64_t exchange_number_ = 0;
   bool connected_ = false;
   bool reusable_ = true;
+  // Bytes received for the exchange, and messages among them that were not its answer.
+  std::size_t received_ = 0;
+  std::size_t skipped_messages_ = 0;
+  AnswerMemory::Reservation memory_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
 };
--- a/include/peridotfork/upstream/connection_pool.h
+++ b/include/peridotfork/upstream/connection_pool.h
@@ -15,6 +15,7 @@
 #include "peridotfork/core/clock.h"
 #include "peridotfork/runtime/ranked_mutex.h"
 #include "peridotfork/runtime/worker_pool.h"
+#include "peridotfork/upstream/answer_memory.h"
 #include "peridotfork/upstream/connection.h"
 
 namespace peridotfork {
@@ -25,7 +26,8 @@
   // Interval between checks for overdue connections.
   static constexpr std::chrono::milliseconds kSweepInterval{100};
 
-  ConnectionPool(WorkerPool& pool, const Clock& clock);
+  // `answer_memory` limits the answers of all targets together.
+  ConnectionPool(WorkerPool& pool, const Clock& clock, Bytes answer_memory);
 
   void Start();
   void Stop();
@@ -34,6 +36,9 @@
   // one, or a new one.
   ConnectionPtr Take(const TargetPtr& target);
 
+  // Closes the idle connections to a target that is not used any more.
+  void CloseIdle(const TargetPtr& target);
+
   // Called by a connection that has become available for the next exchange.
   void Return(Connection& connection);
   // Called by a connection that has closed.
@@ -42,12 +47,14 @@
   std::uint64_t opened() const { return opened_; }
   std::size_t size() const;
   const Clock& clock() const { return clock_; }
+  AnswerMemory& memory() const { return *memory_; }
 
  private:
   void CloseOverdueConnections();
 
   WorkerPool& pool_;
   const Clock& clock_;
+  const AnswerMemoryPtr memory_;
   boost::intrusive_ptr<PeriodicTask> sweep_task_;
   std::atomic<std::uint64_t> opened_ = 0;
   mutable RankedMutex mutex_{LockRank::kConnections};
--- a/src/balance/target_score.cc
+++ b/src/balance/target_score.cc
@@ -140,8 +140,12 @@
   return now < condition.slow_until ? TargetHealth::kSlow : TargetHealth::kHealthy;
 }
 
+bool IsOpen(const TargetCondition& condition) {
+  return !condition.closed && !condition.leaving && !condition.misdirected;
+}
+
 bool MayTakeWork(const TargetCondition& condition, BootTime now) {
-  if (condition.closed || condition.misdirected || !ColdAllows(condition, now) ||
+  if (!IsOpen(condition) || now < condition.hold_until || !ColdAllows(condition, now) ||
       IsColdWithoutLimit(condition, now)) {
     return false;
   }
@@ -151,10 +155,22 @@
 }
 
 bool MayTakeAsLastResort(const TargetCondition& condition, BootTime now) {
-  return !condition.closed && !condition.misdirected && ColdAllows(condition, now) &&
+  return IsOpen(condition) && now >= condition.hold_until && ColdAllows(condition, now) &&
          condition.open_attempts.size() < condition.entry.slots.value();
 }
 
+void RecordSignals(TargetCondition& condition, const TargetSignals& signals, BootTime now) {
+  if (signals.load) {
+    condition.load = signals.load;
+    condition.load_at = now;
+  }
+  condition.leaving = condition.leaving || signals.leaving;
+  if (signals.hold) {
+    // A shorter hold in a later answer does not end an earlier one.
+    condition.hold_until = std::max(condition.hold_until, now + *signals.hold);
+  }
+}
+
 void RecordOutcome(TargetCondition& condition,
                    const Attempt& attempt,
                    AttemptOutcome end,
--- a/src/balance/target_table.cc
+++ b/src/balance/target_table.cc
@@ -15,6 +15,9 @@
 // latency objective.
 constexpr double kDefaultLatencyShare = 0.15;
 
+// Number of removed targets that are remembered because they must not be used again.
+constexpr std::size_t kMaxDeparted = 4096;
+
 std::chrono::nanoseconds Scale(std::chrono::nanoseconds time, double factor) {
   return std::chrono::duration_cast<std::chrono::nanoseconds>(time * factor);
 }
@@ -61,11 +64,8 @@
     service.targets.clear();
   }
   for (const TargetEntry& entry : entries) {
-    const auto known = targets_.find(entry.id);
-    TargetPtr target;
-    if (known != targets_.end() && IsSameIncarnation(known->second->condition.entry, entry)) {
-      target = known->second;
-    } else {
+    TargetPtr target = FindIncarnation(entry);
+    if (target == nullptr) {
       target.reset(new Target(entry));
     }
     TargetCondition& condition = target->condition;
@@ -75,9 +75,42 @@
     kept.emplace(entry.id, std::move(target));
   }
   LogMembership(kept);
+  const BootTime now = clock_.now();
+  for (const auto& [id, target] : targets_) {
+    const auto still = kept.find(id);
+    if (still == kept.end() || still->second != target) {
+      RememberDeparted(target, now);
+    }
+  }
   targets_ = std::move(kept);
 }
 
+TargetPtr TargetTable::FindIncarnation(const TargetEntry& entry) const {
+  for (const auto* known : {&targets_, &departed_}) {
+    const auto found = known->find(entry.id);
+    if (found != known->end() && IsSameIncarnation(found->second->condition.entry, entry)) {
+      return found->second;
+    }
+  }
+  return nullptr;
+}
+
+void TargetTable::RememberDeparted(const TargetPtr& target, BootTime now) {
+  const TargetCondition& condition = target->condition;
+  if (!condition.leaving && !condition.misdirected && now >= condition.hold_until) {
+    return;
+  }
+  departed_[target->id()] = target;
+  departed_order_.push_back(target);
+  if (departed_order_.size() > kMaxDeparted) {
+    const auto oldest = departed_.find(departed_order_.front()->id());
+    if (oldest != departed_.end() && oldest->second == departed_order_.front()) {
+      departed_.erase(oldest);
+    }
+    departed_order_.pop_front();
+  }
+}
+
 AttemptPtr TargetTable::Pick(const PickRequest& request) {
   const RankedLock lock(mutex_);
   const BootTime now = clock_.now();
@@ -103,9 +136,7 @@
   return attempt;
 }
 
-void TargetTable::Finish(Attempt& attempt,
-                         AttemptOutcome end,
-                         const std::optional<LoadReport>& load) {
+void TargetTable::Finish(Attempt& attempt, AttemptOutcome end, const TargetSignals& signals) {
   const RankedLock lock(mutex_);
   if (!std::exchange(attempt.open, false)) {
     return;
@@ -113,15 +144,27 @@
   TargetCondition& condition = attempt.target->condition;
   condition.open_attempts.erase(condition.open_attempts.iterator_to(attempt));
   const BootTime now = clock_.now();
-  if (load) {
-    condition.load = load;
-    condition.load_at = now;
-  }
+  LogSignals(*attempt.target, signals);
+  RecordSignals(condition, signals, now);
   const TargetHealth before = HealthOf(condition, now);
   RecordOutcome(condition, attempt, end, now, options_.score);
   LogHealthChange(*attempt.target, before, now);
 }
 
+void TargetTable::LogSignals(const Target& target, const TargetSignals& signals) {
+  if (signals.leaving && !target.condition.leaving) {
+    log_.Request(
+        "A target says that it is leaving; it gets no more requests.",
+        {{"target", target.id().value()}, {"service", target.condition.entry.service.value()}});
+  }
+  if (signals.hold) {
+    log_.Request("A target asks for no requests for some time.",
+                 {{"target", target.id().value()},
+                  {"service", target.condition.entry.service.value()},
+                  {"hold_ms", std::to_string(signals.hold->count())}});
+  }
+}
+
 void TargetTable::LogHealthChange(const Target& target, TargetHealth before, BootTime now) {
   const TargetCondition& condition = target.condition;
   const TargetHealth after = HealthOf(condition, now);
@@ -176,12 +219,17 @@
   return std::max(options_.min_hedge_delay, std::min(delay, latest));
 }
 
-bool TargetTable::HasTargets(const ServiceId& service) const {
+BootTime TargetTable::OpensAt(const ServiceId& service) const {
   const RankedLock lock(mutex_);
-  const auto found = services_.find(service);
-  return found != services_.end() &&
-         std::ranges::any_of(found->second.targets,
-                             [](const TargetPtr& target) { return !target->condition.closed; });
+  BootTime earliest = BootTime::max();
+  if (const auto found = services_.find(service); found != services_.end()) {
+    for (const TargetPtr& target : found->second.targets) {
+      if (IsOpen(target->condition)) {
+        earliest = std::min(earliest, target->condition.hold_until);
+      }
+    }
+  }
+  return earliest;
 }
 
 std::size_t TargetTable::ConnectionShare(const Target& target) const {
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -114,6 +114,10 @@
               "Maximum number of requests that run concurrently; further ones are "
               "refused.",
               {1, 1'000'000}),
+          MakeKey<S, &S::memory_mib>("host", "memory_mib", "256",
+                                     "Memory in MiB that the process may use; a sixteenth of it is "
+                                     "for answers of targets.",
+                                     {64, 1'048'576}),
           MakeKey<S, &S::ready_path>("http", "ready_path", "/readyz",
                                      "Path of the readiness check."),
           MakeKey<S, &S::metrics_address>("metrics", "address", nullptr,
--- a/src/gateway/caller_session.cc
+++ b/src/gateway/caller_session.cc
@@ -63,6 +63,8 @@
   parser_->header_limit(static_cast<std::uint32_t>(std::min<std::uint64_t>(
       limits.max_header.value(), std::numeric_limits<std::uint32_t>::max())));
   parser_->body_limit(limits.max_body.value());
+  // Bounds what is kept while it can't be parsed, such as a chunk extension without end.
+  buffer_.max_size(std::max(buffer_.size(), limits.max_header.value() + kReadSize));
   if (buffer_.size() > 0) {
     busy_ = true;
     request_start_ = sink_.clock().now();
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -29,6 +29,13 @@
 // expired target entries take up to two seconds to be published again.
 constexpr double kRetryAfterNoTargets = 0.3;
 
+// Part of the memory of the process that is for the answers of targets.
+constexpr std::uint64_t kAnswerMemoryDivisor = 16;
+
+Bytes AnswerMemoryOf(const GatewaySettings& settings) {
+  return Bytes((std::uint64_t{settings.memory_mib} << 20) / kAnswerMemoryDivisor);
+}
+
 std::string_view PathOf(const std::string& target) {
   return std::string_view(target).substr(0, target.find('?'));
 }
@@ -46,7 +53,7 @@
       adapters_(std::move(adapters)),
       request_log_(metrics_, context.log),
       targets_(context.clock, context.log, settings.id, settings.data_centre),
-      connections_(context.pool, context.clock),
+      connections_(context.pool, context.clock, AnswerMemoryOf(settings)),
       peers_(
           context.pool,
           {settings.id, Role::kGateway, context.incarnation},
@@ -76,6 +83,9 @@
                     [this] { return static_cast<double>(connections_.size()); });
   metrics_.AddGauge("peridotfork_connections_opened", "Connections to targets since the start.",
                     [this] { return static_cast<double>(connections_.opened()); });
+  metrics_.AddGauge(
+      "peridotfork_answer_bytes", "Memory that is reserved for answers of targets.",
+      [this] { return static_cast<double>(connections_.memory().reserved().value()); });
   metrics_.AddGauge("peridotfork_requests_in_flight", "Requests without an answer.",
                     [this] { return static_cast<double>(in_flight_); });
   metrics_.AddGauge("peridotfork_store_calls", "Calls to the store since the start.",
@@ -241,13 +251,11 @@
                   kRetryAfterOverload);
   }
   routed.services = SelectServices(*routed.route);
-  if (!CanSucceed(routed)) {
-    const auto caller_timeout = routed.ingress.caller_timeout.value_or(routed.route->timeout);
+  if (const auto wait = TimeToEnoughTargets(routed); wait > std::chrono::milliseconds(0)) {
     return refuse(503,
                   MakeError(ErrorKind::kUnavailable, "route " + routed.route->id.value(),
-                            "too few services of the route have targets"),
-                  std::chrono::duration_cast<std::chrono::milliseconds>(caller_timeout *
-                                                                        kRetryAfterNoTargets));
+                            "too few services of the route have targets that accept requests"),
+                  wait);
   }
   routed.message = std::move(request);
   routed.start = start;
@@ -282,11 +290,28 @@
   }
 }
 
-bool Gateway::CanSucceed(const RoutedRequest& request) const {
-  const auto usable = static_cast<std::size_t>(std::ranges::count_if(
-      request.services, [this](const ServiceId& id) { return targets_.HasTargets(id); }));
+std::chrono::milliseconds Gateway::TimeToEnoughTargets(const RoutedRequest& request) const {
+  std::vector<BootTime> opening;
+  opening.reserve(request.services.size());
+  for (const ServiceId& service : request.services) {
+    opening.push_back(targets_.OpensAt(service));
+  }
   const double coverage = request.route->gather ? request.route->gather->required_coverage : 1;
-  return usable >= RequiredShards(request.services.size(), coverage);
+  const auto needed =
+      static_cast<std::ptrdiff_t>(RequiredShards(request.services.size(), coverage));
+  std::ranges::nth_element(opening, opening.begin() + needed - 1);
+  const BootTime opens_at = opening[static_cast<std::size_t>(needed - 1)];
+  if (opens_at == BootTime::max()) {
+    const auto caller_timeout = request.ingress.caller_timeout.value_or(request.route->timeout);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(caller_timeout *
+                                                                 kRetryAfterNoTargets);
+  }
+  // A hold that ends while the request may still be placed is waited for.
+  const BootTime now = context_.clock.now();
+  if (opens_at <= now + PlacementWindow(*request.route)) {
+    return std::chrono::milliseconds(0);
+  }
+  return std::chrono::ceil<std::chrono::milliseconds>(opens_at - now);
 }
 
 std::vector<ServiceId> Gateway::SelectServices(const Route& route) {
--- a/src/gateway/request_runner.cc
+++ b/src/gateway/request_runner.cc
@@ -32,6 +32,10 @@
 // Retry-After of a refusal, as a share of the objective.
 constexpr double kRetryAfterShare = 0.12;
 constexpr milliseconds kMinRetryAfter{10};
+// Number of requests whose answers of maximum size fit into the memory for answers.
+constexpr std::uint64_t kAnswersInMemory = 4;
+// Lower limit for the maximum size of the answer of one target, for routes with many shards.
+constexpr Bytes kMinMaxAnswer{65536};
 // A target that accepts no connection within this time is considered down.
 constexpr milliseconds kCheckTimeout{350};
 // A liveness check reads no response.
@@ -61,7 +65,7 @@
   plan.required_coverage = route.gather ? route.gather->required_coverage : 1;
   plan.hedge_delay = targets.HedgeDelay(route);
   plan.partial_answer_at = request.start + route.objective - kCallerTransit;
-  plan.placement_deadline = request.start + Scale(route.objective, kPlacementWindowShare);
+  plan.placement_deadline = request.start + PlacementWindow(route);
   plan.answer_deadline = request.start +
                          std::min<std::chrono::nanoseconds>(caller_timeout, route.timeout) -
                          kAnswerDeadlineMargin;
@@ -81,6 +85,10 @@
 
 }  // namespace
 
+std::chrono::nanoseconds PlacementWindow(const Route& route) {
+  return Scale(route.objective, kPlacementWindowShare);
+}
+
 RequestRunner::RequestRunner(GatewayContext& context,
                              RoutedRequest request,
                              Callback done,
@@ -150,6 +158,7 @@
                                   std::max(time_left, milliseconds(1)));
   exchange.matches = [&codec = context_.codec, id = request_.ingress.id](
                          const http::RawResponse& response) { return codec.Matches(response, id); };
+  exchange.max_body = MaxAnswer();
   exchange.done = [self = boost::intrusive_ptr(this), index = spec.shard,
                    attempt](ExchangeResult result) {
     self->OnExchange(index, attempt, std::move(result));
@@ -160,6 +169,11 @@
   shard.active_attempts.push_back({std::move(attempt), std::move(connection), number});
 }
 
+Bytes RequestRunner::MaxAnswer() const {
+  const std::uint64_t request = context_.connections.memory().capacity().value() / kAnswersInMemory;
+  return Bytes(std::max<std::uint64_t>(kMinMaxAnswer.value(), request / shards_.size()));
+}
+
 void RequestRunner::OnExchange(std::size_t index,
                                const AttemptPtr& attempt,
                                ExchangeResult result) {
@@ -169,13 +183,15 @@
                 [&](const ActiveAttempt& active) { return active.attempt == attempt; });
   AttemptResult ended = AttemptResult::kMayHaveRun;
   if (result.state == ExchangeState::kAnswered) {
-    ended = ProcessAnswer(index, *attempt, context_.codec.DecodeAnswer(std::move(result.response)));
+    UpstreamAnswer answer = context_.codec.DecodeAnswer(std::move(result.response));
+    answer.memory = std::move(result.memory);
+    ended = ProcessAnswer(index, *attempt, std::move(answer));
   } else {
     const AttemptOutcome end =
         caller_gone_ ? AttemptOutcome::kCancelled : ToAttemptOutcome(result.state);
     ended = result.state == ExchangeState::kNotConnected ? AttemptResult::kNotRun
                                                          : AttemptResult::kMayHaveRun;
-    context_.targets.Finish(*attempt, end, std::nullopt);
+    context_.targets.Finish(*attempt, end);
     last_fault_ = AttemptOutcomeName(end);
     context_.log.OnAttempt(request_.ingress.id, AttemptOutcomeName(end), request_.services[index],
                            attempt->target->id(), context_.clock.now() - attempt->sent,
@@ -228,7 +244,10 @@
                              : answer.misdirected ? AttemptOutcome::kMisdirected
                              : answer.not_run     ? AttemptOutcome::kShed
                                                   : AttemptOutcome::kFailed;
-  context_.targets.Finish(attempt, end, answer.load);
+  context_.targets.Finish(attempt, end, answer.signals);
+  if (answer.signals.leaving) {
+    context_.connections.CloseIdle(attempt.target);
+  }
   if (usable) {
     context_.targets.ObserveRoute(*request_.route, time);
     if (context_.guard.has_suspects()) {
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -22,6 +22,8 @@
 using Tcp = asio::ip::tcp;
 
 constexpr std::uint32_t kHeaderLimit = 8 * 1024;
+// Maximum number of received bytes that are not yet parsed, such as an incomplete chunk extension.
+constexpr std::size_t kBufferLimit = 64 * 1024;
 
 int HexDigit(char character) {
   if (character >= '0' && character <= '9') {
@@ -196,7 +198,7 @@
   asio::steady_timer read_timer_;
   bool read_timed_out_ = false;
   const boost::intrusive_ptr<Server::Shared> shared_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kBufferLimit};
   std::optional<bhttp::request_parser<bhttp::string_body>> parser_;
   bhttp::response<bhttp::string_body> message_;
   bool keep_alive_ = false;
--- a/src/platform/message_codec.cc
+++ b/src/platform/message_codec.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <boost/beast/http.hpp>
+#include <cctype>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 #include <nlohmann/json.hpp>
 #include <string_view>
@@ -26,7 +28,15 @@
 // Numbers of running requests, waiting requests and slots, separated by commas.
 constexpr const char* kLoad = "Server-Load";
 
+// "1" in all responses of a target that is leaving.
+constexpr const char* kLeaving = "Server-Leaving";
+
 constexpr unsigned kMisdirected = 421;
+constexpr unsigned kTooManyRequests = 429;
+constexpr unsigned kUnavailable = 503;
+
+// Upper limit for a Retry-After of a target, so that it can be added to any time.
+constexpr double kMaxRetryAfterSeconds = 86'400;
 
 std::string_view View(boost::beast::string_view text) {
   return {text.data(), text.size()};
@@ -57,6 +67,17 @@
   return LoadReport{numbers[0], numbers[1], Slots(numbers[2])};
 }
 
+// Parses the time in seconds, with or without a fraction, for which a target that rejected a
+// request wants no others. Dates and anything else that is no number count as none.
+std::optional<milliseconds> ParseRetryAfter(std::string_view text) {
+  const auto seconds = ParseNumber<double>(text);
+  if (!seconds || !std::isfinite(*seconds) || *seconds <= 0) {
+    return std::nullopt;
+  }
+  return std::chrono::ceil<milliseconds>(
+      std::chrono::duration<double>(std::min(*seconds, kMaxRetryAfterSeconds)));
+}
+
 // Whether the field applies to a single connection only. A message may list further such fields
 // in its Connection field.
 bool IsHopByHop(bhttp::field name) {
@@ -140,7 +161,12 @@
   answer.not_run = answer.misdirected || response.find(kNotRun) != response.end();
   answer.signature = std::string(View(response[kSignature]));
   answer.transformed = response.find(bhttp::field::content_encoding) != response.end();
-  answer.load = ParseLoad(View(response[kLoad]));
+  answer.signals.load = ParseLoad(View(response[kLoad]));
+  answer.signals.leaving = View(response[kLeaving]) == "1";
+  const unsigned status = response.result_int();
+  if (status == kUnavailable || status == kTooManyRequests) {
+    answer.signals.hold = ParseRetryAfter(View(response[bhttp::field::retry_after]));
+  }
   answer.message = std::move(response);
   return answer;
 }
--- a/src/upstream/connection.cc
+++ b/src/upstream/connection.cc
@@ -29,7 +29,22 @@
 // Idle connections are closed this long before the timeout that the target announces.
 constexpr std::chrono::milliseconds kIdleMargin{700};
 constexpr std::size_t kReadSize = 16384;
-constexpr std::uint64_t kMaxAnswerBytes = std::uint64_t{16} << 20;
+// Maximum size of the header of an answer.
+constexpr std::uint32_t kMaxHeader = 16384;
+// Bytes that are kept while they can't be parsed, such as an incomplete header or chunk extension.
+constexpr std::size_t kMaxUnparsed = kMaxHeader + kReadSize;
+// Bytes that may arrive for an answer beyond twice its body limit. The factor covers the framing of
+// small chunks.
+constexpr std::size_t kMaxFraming = 65536;
+// Informational responses and answers to earlier requests that may arrive before the answer.
+constexpr std::size_t kMaxSkippedMessages = 8;
+// Answers up to this size need no reservation, so that short ones are read even if long ones use
+// up the memory.
+constexpr std::size_t kUnreservedBytes = 32768;
+// A body of unknown length that grows occupies up to twice its size.
+constexpr std::size_t kGrowthFactor = 2;
+// Memory that an answer of unknown length may hold while it waits for more.
+constexpr std::size_t kMaxReservedWhileWaiting = 131072;
 
 // Returns the time for which an idle connection may be kept, from a header field such
 // as "Keep-Alive: timeout=5, max=100".
@@ -65,6 +80,8 @@
                self->request_ = std::move(exchange.request);
                self->exchange_ = std::move(exchange);
                self->exchange_number_ = number;
+               self->received_ = 0;
+               self->skipped_messages_ = 0;
                if (self->connected_ && self->IsOpenWithoutInput()) {
                  self->Write();
                } else {
@@ -83,6 +100,14 @@
   });
 }
 
+void Connection::CloseIdle() {
+  asio::post(strand_, [self = ConnectionPtr(this)] {
+    if (!self->exchange_) {
+      self->Close();
+    }
+  });
+}
+
 void Connection::CloseIfOverdue() {
   asio::dispatch(strand_, [self = ConnectionPtr(this)] {
     const BootTime end = self->close_at_;
@@ -141,13 +166,18 @@
                        if (error) {
                          self->Finish(ExchangeState::kLost, error.message());
                        } else {
-                         self->parser_.emplace();
-                         self->parser_->body_limit(kMaxAnswerBytes);
+                         self->BeginAnswer();
                          self->WaitForBytes();
                        }
                      });
 }
 
+void Connection::BeginAnswer() {
+  parser_.emplace();
+  parser_->header_limit(kMaxHeader);
+  parser_->body_limit(exchange_->max_body.value());
+}
+
 void Connection::WaitForBytes() {
   socket_.async_wait(Tcp::socket::wait_read,
                      [self = ConnectionPtr(this)](const beast::error_code& error) {
@@ -162,7 +192,41 @@
                      });
 }
 
+std::size_t Connection::MemoryNeeded() const {
+  const auto length = parser_->is_header_done() ? parser_->content_length() : boost::none;
+  if (length) {
+    const std::size_t whole = static_cast<std::size_t>(*length) + kReadSize;
+    return whole <= kUnreservedBytes ? 0 : whole;
+  }
+  const std::size_t so_far = received_ + kReadSize;
+  return so_far <= kUnreservedBytes ? 0 : so_far * kGrowthFactor;
+}
+
+bool Connection::MayRead() {
+  const std::size_t needed = MemoryNeeded();
+  const std::size_t reserved = memory_.size().value();
+  if (needed <= reserved) {
+    return true;
+  }
+  const bool granted = pool_.memory().TryReserve(
+      memory_, Bytes(needed - reserved), [self = ConnectionPtr(this), number = exchange_number_] {
+        asio::post(self->strand_, [self, number] {
+          if (self->exchange_ && self->exchange_number_ == number) {
+            self->WaitForBytes();
+          }
+        });
+      });
+  if (!granted && reserved > kMaxReservedWhileWaiting) {
+    // Answers of unknown length that wait for each other's memory would not end.
+    Finish(ExchangeState::kLost, "the memory for answers is used up");
+  }
+  return granted;
+}
+
 void Connection::ReadBytes() {
+  if (!MayRead()) {
+    return;
+  }
   beast::error_code error;
   const std::size_t count = socket_.read_some(buffer_.prepare(kReadSize), error);
   buffer_.commit(count);
@@ -178,6 +242,20 @@
     Finish(ExchangeState::kLost, error.message());
     return;
   }
+  received_ += count;
+  ParseBytes();
+  if (!exchange_) {
+    return;
+  }
+  if (buffer_.size() >= kMaxUnparsed || received_ > 2 * exchange_->max_body.value() + kMaxFraming) {
+    Finish(ExchangeState::kLost, "the target sent more bytes than an answer may have");
+    return;
+  }
+  WaitForBytes();
+}
+
+void Connection::ParseBytes() {
+  beast::error_code error;
   while (exchange_ && buffer_.size() > 0) {
     const std::size_t used = parser_->put(buffer_.data(), error);
     buffer_.consume(used);
@@ -194,9 +272,6 @@
       break;
     }
   }
-  if (exchange_) {
-    WaitForBytes();
-  }
 }
 
 void Connection::OnEof() {
@@ -216,15 +291,19 @@
 void Connection::OnMessage() {
   http::RawResponse response = parser_->release();
   parser_.reset();
-  if (!exchange_->matches(response)) {
+  const bool informational = response.result_int() < 200;
+  if (informational || !exchange_->matches(response)) {
+    if (++skipped_messages_ > kMaxSkippedMessages) {
+      Finish(ExchangeState::kLost, "the target sent too many messages before the answer");
+      return;
+    }
     // A second answer to an earlier request. The answer to this request may follow.
-    reusable_ = false;
-    parser_.emplace();
-    parser_->body_limit(kMaxAnswerBytes);
+    reusable_ = reusable_ && informational;
+    BeginAnswer();
     return;
   }
   reusable_ = reusable_ && response.keep_alive() && buffer_.size() == 0;
-  ExchangeResult result{ExchangeState::kAnswered, std::move(response), {}};
+  ExchangeResult result{ExchangeState::kAnswered, std::move(response), std::move(memory_), {}};
   if (!reusable_) {
     Close();
     Deliver(std::move(result));
@@ -241,7 +320,7 @@
 
 void Connection::Finish(ExchangeState state, std::string detail) {
   Close();
-  Deliver({state, {}, std::move(detail)});
+  Deliver({state, {}, {}, std::move(detail)});
 }
 
 void Connection::Deliver(ExchangeResult result) {
@@ -259,6 +338,7 @@
   beast::error_code ignored;
   connect_timer_.cancel();
   socket_.close(ignored);
+  memory_ = {};
 }
 
 bool Connection::IsOpenWithoutInput() {
--- a/src/upstream/connection_pool.cc
+++ b/src/upstream/connection_pool.cc
@@ -1,10 +1,12 @@
 #include "peridotfork/upstream/connection_pool.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace peridotfork {
 
-ConnectionPool::ConnectionPool(WorkerPool& pool, const Clock& clock) : pool_(pool), clock_(clock) {}
+ConnectionPool::ConnectionPool(WorkerPool& pool, const Clock& clock, Bytes answer_memory)
+    : pool_(pool), clock_(clock), memory_(new AnswerMemory(answer_memory)) {}
 
 void ConnectionPool::Start() {
   sweep_task_ = PeriodicTask::Start(pool_, kSweepInterval, [this] { CloseOverdueConnections(); });
@@ -30,6 +32,22 @@
   return connection;
 }
 
+void ConnectionPool::CloseIdle(const TargetPtr& target) {
+  std::vector<ConnectionPtr> idle;
+  {
+    const RankedLock lock(mutex_);
+    const auto found = idle_.find(target);
+    if (found == idle_.end()) {
+      return;
+    }
+    idle = std::move(found->second);
+    idle_.erase(found);
+  }
+  for (const ConnectionPtr& connection : idle) {
+    connection->CloseIdle();
+  }
+}
+
 void ConnectionPool::Return(Connection& connection) {
   const RankedLock lock(mutex_);
   idle_[connection.target()].emplace_back(&connection);
--- a/test/balance/target_table_test.cc
+++ b/test/balance/target_table_test.cc
@@ -54,7 +54,7 @@
     if (attempt == nullptr) {
       return "none";
     }
-    table.Finish(*attempt, AttemptOutcome::kCancelled, std::nullopt);
+    table.Finish(*attempt, AttemptOutcome::kCancelled);
     return attempt->target->id().value();
   }
 
@@ -80,7 +80,7 @@
   CHECK(stalled->target->id() == TargetId("near"));
   fixture.clock.Advance(milliseconds(60));
   CHECK(fixture.PickName() == "far");
-  fixture.table.Finish(*stalled, AttemptOutcome::kAnswered, std::nullopt);
+  fixture.table.Finish(*stalled, AttemptOutcome::kAnswered);
 }
 
 TEST_CASE("draining targets and those of drained data centres get no requests") {
@@ -89,16 +89,128 @@
   leaving.draining = true;
   fixture.Update({leaving, Entry("drained", "there")}, {DataCentreId("there")});
   CHECK(fixture.PickName() == "none");
-  CHECK_FALSE(fixture.table.HasTargets(kService));
+  CHECK(fixture.table.OpensAt(kService) == BootTime::max());
   fixture.Update({leaving, Entry("drained", "there")});
   CHECK(fixture.PickName() == "drained");
 }
 
+TargetSignals Leaving() {
+  TargetSignals signals;
+  signals.leaving = true;
+  return signals;
+}
+
+TargetSignals Hold(milliseconds time) {
+  TargetSignals signals;
+  signals.hold = time;
+  return signals;
+}
+
+TEST_CASE("a target that says it is leaving gets nothing more, whatever the store repeats") {
+  Fixture fixture;
+  fixture.Update({Entry("near", "here")});
+  fixture.table.Finish(*fixture.Pick(), AttemptOutcome::kAnswered, Leaving());
+  CHECK(fixture.PickName() == "none");
+  CHECK(fixture.table.OpensAt(kService) == BootTime::max());
+  TargetEntry repeated = Entry("near", "here");
+  repeated.sequence = 9;
+  fixture.Update({repeated});
+  CHECK(fixture.PickName() == "none");
+  // Its entry expires and is listed once more.
+  fixture.Update({});
+  fixture.Update({repeated});
+  fixture.clock.Advance(std::chrono::hours(1));
+  CHECK(fixture.PickName() == "none");
+  TargetEntry restarted = repeated;
+  restarted.started_ms = 2;
+  fixture.Update({restarted});
+  CHECK(fixture.PickName() == "near");
+}
+
+TEST_CASE("what a leaving target answers late does not close its successor") {
+  Fixture fixture;
+  fixture.Update({Entry("near", "here")});
+  const AttemptPtr late = fixture.Pick();
+  TargetEntry successor = Entry("near", "here");
+  successor.started_ms = 2;
+  fixture.Update({successor});
+  fixture.table.Finish(*late, AttemptOutcome::kAnswered, Leaving());
+  CHECK(fixture.PickName() == "near");
+}
+
+TEST_CASE("attempts in progress on a leaving target end as usual") {
+  Fixture fixture;
+  fixture.Update({Entry("near", "here")});
+  const AttemptPtr first = fixture.Pick();
+  const AttemptPtr second = fixture.Pick();
+  fixture.table.Finish(*first, AttemptOutcome::kAnswered, Leaving());
+  CHECK(second->open);
+  fixture.table.Finish(*second, AttemptOutcome::kAnswered);
+  CHECK_FALSE(second->open);
+}
+
+TEST_CASE("a target gets nothing for the time that it asked for") {
+  Fixture fixture;
+  fixture.Update({Entry("near", "here"), Entry("far", "there")});
+  fixture.table.Finish(*fixture.Pick(), AttemptOutcome::kShed, Hold(milliseconds(3000)));
+  for (const AttemptPurpose purpose :
+       {AttemptPurpose::kFirst, AttemptPurpose::kRetry, AttemptPurpose::kHedge}) {
+    const AttemptPtr attempt = fixture.Pick(purpose);
+    REQUIRE(attempt != nullptr);
+    CHECK(attempt->target->id() == TargetId("far"));
+    fixture.table.Finish(*attempt, AttemptOutcome::kCancelled);
+  }
+  fixture.Update({Entry("near", "here")});
+  CHECK(fixture.PickName() == "none");
+  CHECK(fixture.table.OpensAt(kService) == fixture.clock.now() + milliseconds(3000));
+  // Neither a shorter hold nor an expired entry ends it.
+  fixture.Update({});
+  fixture.Update({Entry("near", "here")});
+  fixture.clock.Advance(milliseconds(2999));
+  CHECK(fixture.PickName() == "none");
+  fixture.clock.Advance(milliseconds(1));
+  CHECK(fixture.PickName() == "near");
+}
+
+TEST_CASE("a shorter hold does not end a longer one") {
+  Fixture fixture;
+  fixture.Update({Entry("near", "here")});
+  const AttemptPtr first = fixture.Pick();
+  const AttemptPtr second = fixture.Pick();
+  fixture.table.Finish(*first, AttemptOutcome::kShed, Hold(milliseconds(3000)));
+  fixture.table.Finish(*second, AttemptOutcome::kShed, Hold(milliseconds(100)));
+  fixture.clock.Advance(milliseconds(2000));
+  CHECK(fixture.PickName() == "none");
+}
+
+// The clock advances while a host is frozen, so a hold is neither lost nor prolonged by a freeze.
+TEST_CASE("a hold that has passed while the host was frozen has ended") {
+  Fixture fixture;
+  fixture.Update({Entry("near", "here")});
+  fixture.table.Finish(*fixture.Pick(), AttemptOutcome::kShed, Hold(milliseconds(3000)));
+  fixture.clock.Advance(std::chrono::seconds(20));
+  CHECK(fixture.PickName() == "near");
+}
+
+TEST_CASE("targets that were removed while they may not be used are forgotten in order") {
+  Fixture fixture;
+  for (int i = 0; i < 4200; ++i) {
+    fixture.Update({Entry(std::to_string(i), "here")});
+    fixture.table.Finish(*fixture.Pick(), AttemptOutcome::kAnswered, Leaving());
+  }
+  fixture.Update({Entry("4199", "here")});
+  CHECK(fixture.PickName() == "none");
+  fixture.Update({Entry("150", "here")});
+  CHECK(fixture.PickName() == "none");
+  fixture.Update({Entry("50", "here")});
+  CHECK(fixture.PickName() == "50");
+}
+
 TEST_CASE("an unreachable target gets no work at first and is probed later") {
   Fixture fixture;
   fixture.Update({Entry("far", "there"), Entry("near", "here")});
   const AttemptPtr failed = fixture.Pick();
-  fixture.table.Finish(*failed, AttemptOutcome::kNotConnected, std::nullopt);
+  fixture.table.Finish(*failed, AttemptOutcome::kNotConnected);
   CHECK(fixture.PickName() == "far");
   fixture.clock.Advance(std::chrono::seconds(8));
   CHECK(fixture.PickName() == "near");
@@ -108,14 +220,14 @@
   Fixture fixture;
   fixture.Update({Entry("near", "here")});
   const AttemptPtr failed = fixture.Pick();
-  fixture.table.Finish(*failed, AttemptOutcome::kNotConnected, std::nullopt);
+  fixture.table.Finish(*failed, AttemptOutcome::kNotConnected);
   CHECK(fixture.PickName() == "near");
 }
 
 TEST_CASE("a target whose address was taken over gets no requests until it restarts") {
   Fixture fixture;
   fixture.Update({Entry("near", "here")});
-  fixture.table.Finish(*fixture.Pick(), AttemptOutcome::kMisdirected, std::nullopt);
+  fixture.table.Finish(*fixture.Pick(), AttemptOutcome::kMisdirected);
   fixture.clock.Advance(std::chrono::hours(1));
   CHECK(fixture.PickName() == "none");
   TargetEntry again = Entry("near", "here");
@@ -135,9 +247,9 @@
     if (const AttemptPtr retry = fixture.Pick(AttemptPurpose::kRetry, tried)) {
       CHECK(retry->target != first->target);
       ++extra;
-      fixture.table.Finish(*retry, AttemptOutcome::kCancelled, std::nullopt);
+      fixture.table.Finish(*retry, AttemptOutcome::kCancelled);
     }
-    fixture.table.Finish(*first, AttemptOutcome::kCancelled, std::nullopt);
+    fixture.table.Finish(*first, AttemptOutcome::kCancelled);
   }
   // Five hosts together stay within the retry budget of the platform: one fifth of the
   // requests plus a burst of 54.
@@ -150,12 +262,12 @@
   fixture.Update({Entry("a", "here"), Entry("b", "here")});
   const std::vector<AttemptPtr> tried{fixture.Pick()};
   while (const AttemptPtr hedge = fixture.Pick(AttemptPurpose::kHedge, tried)) {
-    fixture.table.Finish(*hedge, AttemptOutcome::kCancelled, std::nullopt);
+    fixture.table.Finish(*hedge, AttemptOutcome::kCancelled);
   }
   const AttemptPtr retry = fixture.Pick(AttemptPurpose::kRetry, tried);
   REQUIRE(retry != nullptr);
-  fixture.table.Finish(*retry, AttemptOutcome::kCancelled, std::nullopt);
-  fixture.table.Finish(*tried.front(), AttemptOutcome::kCancelled, std::nullopt);
+  fixture.table.Finish(*retry, AttemptOutcome::kCancelled);
+  fixture.table.Finish(*tried.front(), AttemptOutcome::kCancelled);
 }
 
 TEST_CASE("many hosts together stay within the limit of the platform for cold targets") {
@@ -172,7 +284,7 @@
         for (int& ms : sent) {
           if (const AttemptPtr attempt = host.Pick()) {
             ++ms;
-            host.table.Finish(*attempt, AttemptOutcome::kCancelled, std::nullopt);
+            host.table.Finish(*attempt, AttemptOutcome::kCancelled);
           }
           host.clock.Advance(milliseconds(1));
         }
@@ -207,8 +319,8 @@
   const AttemptPtr attempt = fixture.Pick();
   fixture.Update({});
   CHECK(fixture.PickName() == "none");
-  fixture.table.Finish(*attempt, AttemptOutcome::kAnswered, std::nullopt);
-  fixture.table.Finish(*attempt, AttemptOutcome::kLost, std::nullopt);
+  fixture.table.Finish(*attempt, AttemptOutcome::kAnswered);
+  fixture.table.Finish(*attempt, AttemptOutcome::kLost);
   CHECK(fixture.table.size() == 0);
 }
 
@@ -240,7 +352,8 @@
         if (attempt == nullptr) {
           continue;
         }
-        CHECK_FALSE(attempt->target->condition.closed);
+        CHECK(IsOpen(attempt->target->condition));
+        CHECK(fixture.clock.now() >= attempt->target->condition.hold_until);
         for (const AttemptPtr& earlier : tried) {
           CHECK(earlier->target != attempt->target);
         }
@@ -249,12 +362,17 @@
       } else {
         const std::size_t at = random() % open.size();
         --load[open[at]->target.get()];
-        fixture.table.Finish(*open[at], static_cast<AttemptOutcome>(random() % 8), std::nullopt);
+        TargetSignals signals;
+        signals.leaving = random() % 50 == 0;
+        if (random() % 20 == 0) {
+          signals.hold = milliseconds(random() % 500);
+        }
+        fixture.table.Finish(*open[at], static_cast<AttemptOutcome>(random() % 8), signals);
         open.erase(open.begin() + static_cast<std::ptrdiff_t>(at));
       }
     }
     for (const AttemptPtr& attempt : open) {
-      fixture.table.Finish(*attempt, AttemptOutcome::kCancelled, std::nullopt);
+      fixture.table.Finish(*attempt, AttemptOutcome::kCancelled);
     }
   }
 }
@@ -266,12 +384,12 @@
   const auto answer_slowly = [&] {
     AttemptPtr attempt = fixture.Pick();
     while (attempt->target->id() != TargetId("near")) {
-      fixture.table.Finish(*attempt, AttemptOutcome::kCancelled, std::nullopt);
+      fixture.table.Finish(*attempt, AttemptOutcome::kCancelled);
       fixture.clock.Advance(milliseconds(10));
       attempt = fixture.Pick();
     }
     fixture.clock.Advance(milliseconds(100));
-    fixture.table.Finish(*attempt, AttemptOutcome::kAnswered, std::nullopt);
+    fixture.table.Finish(*attempt, AttemptOutcome::kAnswered);
   };
   answer_slowly();
   CHECK(fixture.PickName() == "far");
@@ -287,10 +405,10 @@
   for (int i = 0; i < 4; ++i) {
     const AttemptPtr attempt = fixture.Pick();
     if (attempt->target->id() == TargetId("near")) {
-      fixture.table.Finish(*attempt, AttemptOutcome::kShed, std::nullopt);
+      fixture.table.Finish(*attempt, AttemptOutcome::kShed);
     } else {
       fixture.clock.Advance(milliseconds(18));
-      fixture.table.Finish(*attempt, AttemptOutcome::kAnswered, std::nullopt);
+      fixture.table.Finish(*attempt, AttemptOutcome::kAnswered);
     }
   }
   CHECK(fixture.PickName() == "far");
--- a/test/gateway/gateway_test.cc
+++ b/test/gateway/gateway_test.cc
@@ -1,12 +1,15 @@
 #include "peridotfork/gateway/gateway.h"
 
 #include <doctest/doctest.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <boost/asio/connect.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
+#include <deque>
+#include <fstream>
 #include <future>
 #include <mutex>
 #include <thread>
@@ -192,12 +195,14 @@
     return *targets.back();
   }
 
-  void Publish(std::vector<Route> routes, std::uint64_t version = 1) {
+  void Publish(std::vector<Route> routes,
+               std::uint64_t version = 1,
+               std::vector<ServiceSpec> services = {}) {
     IngressLimits limits;
     limits.max_body = Bytes(1000);
     limits.max_header = Bytes(2000);
-    pending.emplace_back(CataloguePublished{
-        CataloguePtr(new Catalogue(Revision(version), std::move(routes), {}, limits))});
+    pending.emplace_back(CataloguePublished{CataloguePtr(
+        new Catalogue(Revision(version), std::move(routes), std::move(services), limits))});
     store->Push(std::exchange(pending, {}));
     for (int i = 0; i < 500 && ReadyStatus() != 200; ++i) {
       std::this_thread::sleep_for(milliseconds(5));
@@ -317,6 +322,66 @@
   CHECK(response.find("Part-Stamps") == response.end());
 }
 
+// Resident memory of this process.
+std::size_t ResidentBytes() {
+  std::ifstream statm("/proc/self/statm");
+  std::size_t pages = 0;
+  statm >> pages >> pages;
+  return pages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
+// Guards against targets whose answers fill the memory of the host and delay all other requests.
+TEST_CASE("targets that send bodies without end affect neither memory nor other routes") {
+  constexpr std::size_t kShards = 40;
+  constexpr std::size_t kFlooding = 12;
+  constexpr int kGathers = 6;
+  constexpr std::size_t kMaxGrowth = std::size_t{58} << 20;
+  Fixture fixture;
+  fixture.AddTarget("one", Answering("notes"));
+  for (std::size_t i = 0; i < kShards; ++i) {
+    const std::string name = "shard-" + std::to_string(i);
+    if (i >= kFlooding) {
+      fixture.AddTarget(name, ShardAnswer("p" + std::to_string(i), Record('a')));
+      continue;
+    }
+    fixture.AddTarget(name, [i](const std::string& header) -> TargetAction {
+      return {"HTTP/1.1 200 OK\r\nRequest-Id: " + FieldOf(header, "Request-Id") +
+                  "\r\nResponse-Stamp: p" + std::to_string(i) + "\r\n\r\n",
+              milliseconds(0), After::kClose, std::string(65536, 'x')};
+    });
+  }
+  const Route gather = GatherRoute(kShards, 0.6);
+  std::vector<ServiceSpec> services;
+  for (const ServiceId& shard : gather.gather->shards) {
+    services.push_back({shard, Connections(100), Rate(0)});
+  }
+  fixture.Publish({gather, SingleRoute(Repeatability::kIdempotent)}, 1, services);
+  const std::size_t before = ResidentBytes();
+  std::size_t most = before;
+  std::deque<Caller> gathers;
+  for (int i = 0; i < kGathers; ++i) {
+    gathers.emplace_back(fixture.gateway->ingress_address());
+    gathers.back().Send("gather.example", "/all/1", "g" + std::to_string(i));
+  }
+  const auto begin = std::chrono::steady_clock::now();
+  for (int i = 0; std::chrono::steady_clock::now() - begin < milliseconds(600); ++i) {
+    const Response response =
+        fixture.MakeCaller().Get("single.example", "/one/1", "a" + std::to_string(i));
+    CHECK(response.body() == "notes");
+    most = std::max(most, ResidentBytes());
+  }
+  for (Caller& caller : gathers) {
+    const Response response = caller.Receive();
+    CHECK(response.result_int() == 200);
+    CHECK(response["Missing-Parts"] == std::to_string(kFlooding));
+    CHECK(response.body() == Record('a') + Record('a') + Record('a'));
+  }
+  CHECK(most - before < kMaxGrowth);
+  // The targets are avoided like others that fail, and their memory is free again.
+  const Response metrics = Caller(fixture.gateway->metrics_address()).Get("x", "/metrics", "");
+  CHECK(metrics.body().find("peridotfork_answer_bytes 0\n") != std::string::npos);
+}
+
 TEST_CASE("a request that can't succeed for lack of targets is refused before it is sent") {
   Fixture fixture;
   ScriptedTarget& target = fixture.AddTarget("shard-0", ShardAnswer("p0", Record('a')));
@@ -435,6 +500,109 @@
   CHECK(response.find("Response-Stamp") == response.end());
 }
 
+TEST_CASE("a target that wants no requests for some time gets none, and callers learn how long") {
+  Fixture fixture;
+  ScriptedTarget& target = fixture.AddTarget("one", [](const std::string&) -> TargetAction {
+    return {"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"};
+  });
+  fixture.Publish({SingleRoute(Repeatability::kIdempotent)});
+  const auto begin = std::chrono::steady_clock::now();
+  int sent = 0;
+  while (std::chrono::steady_clock::now() - begin < milliseconds(700)) {
+    const Response response =
+        fixture.MakeCaller().Get("single.example", "/one/1", "a" + std::to_string(sent++));
+    CHECK(response.result_int() == 503);
+    const double seconds = std::stod(std::string(response["Retry-After"]));
+    CHECK(seconds > 0);
+    CHECK(seconds <= 1);
+  }
+  CHECK(sent > 20);
+  CHECK(target.requests() == 1);
+  std::this_thread::sleep_for(milliseconds(400));
+  fixture.MakeCaller().Get("single.example", "/one/1", "z");
+  CHECK(target.requests() == 2);
+}
+
+TEST_CASE("a request waits for a target whose hold ends soon") {
+  Fixture fixture;
+  std::atomic<int> requests = 0;
+  ScriptedTarget& target =
+      fixture.AddTarget("one", [&requests](const std::string& header) -> TargetAction {
+        if (requests++ == 0) {
+          return {
+              "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRetry-After: 0.03\r\n"
+              "Content-Length: 0\r\n\r\n"};
+        }
+        return {Answer(FieldOf(header, "Request-Id"), "notes")};
+      });
+  fixture.Publish({SingleRoute(Repeatability::kIdempotent)});
+  CHECK(fixture.MakeCaller().Get("single.example", "/one/1", "a").result_int() == 503);
+  CHECK(fixture.MakeCaller().Get("single.example", "/one/1", "b").result_int() == 200);
+  CHECK(target.requests() == 2);
+}
+
+TEST_CASE("a target that says it is leaving gets no further request and no idle connection") {
+  Fixture fixture;
+  const auto script = [](const std::string& name) {
+    return [name](const std::string& header) -> TargetAction {
+      return {Answer(FieldOf(header, "Request-Id"), name,
+                     name == "leaving" ? "Server-Leaving: 1\r\n" : "")};
+    };
+  };
+  ScriptedTarget& leaving = fixture.AddTarget("one", script("leaving"));
+  fixture.Publish({SingleRoute(Repeatability::kIdempotent)});
+  CHECK(fixture.MakeCaller().Get("single.example", "/one/1", "a").body() == "leaving");
+  CHECK(fixture.MakeCaller().Get("single.example", "/one/1", "b").result_int() == 503);
+  fixture.AddTarget("one", script("staying"));
+  fixture.store->Push(std::exchange(fixture.pending, {}));
+  Response response;
+  for (int i = 0; i < 200 && response.body() != "staying"; ++i) {
+    std::this_thread::sleep_for(milliseconds(5));
+    response = fixture.MakeCaller().Get("single.example", "/one/1", "c" + std::to_string(i));
+  }
+  for (int i = 0; i < 50; ++i) {
+    CHECK(fixture.MakeCaller().Get("single.example", "/one/1", "d" + std::to_string(i)).body() ==
+          "staying");
+  }
+  CHECK(leaving.requests() == 1);
+  const Response metrics = Caller(fixture.gateway->metrics_address()).Get("x", "/metrics", "");
+  CHECK(metrics.body().find("peridotfork_connections 1\n") != std::string::npos);
+}
+
+TEST_CASE("a gathered answer leaves out a shard all of whose targets are leaving") {
+  Fixture fixture;
+  fixture.AddTarget("shard-0", ShardAnswer("p0", Record('a')));
+  fixture.AddTarget("shard-1", ShardAnswer("p1", Record('b')));
+  ScriptedTarget& leaving =
+      fixture.AddTarget("shard-2", [](const std::string& header) -> TargetAction {
+        return {Answer(FieldOf(header, "Request-Id"), Record('c'), "Server-Leaving: 1\r\n")};
+      });
+  fixture.Publish({GatherRoute(3, 0.6)});
+  CHECK(fixture.MakeCaller().Get("gather.example", "/all/1", "a")["Missing-Parts"] == "0");
+  const Response response = fixture.MakeCaller().Get("gather.example", "/all/1", "b");
+  CHECK(response.result_int() == 200);
+  CHECK(response["Missing-Parts"] == "1");
+  CHECK(leaving.requests() == 1);
+}
+
+// A host that has restarted knows nothing of the hold; the first rejection tells it again.
+TEST_CASE("a restarted gateway learns anew which targets want no requests") {
+  std::atomic<int> requests = 0;
+  const auto script = [&requests](const std::string&) -> TargetAction {
+    ++requests;
+    return {"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRetry-After: 5\r\nContent-Length: 0\r\n\r\n"};
+  };
+  for (int start = 1; start <= 2; ++start) {
+    Fixture fixture;
+    fixture.AddTarget("one", script);
+    fixture.Publish({SingleRoute(Repeatability::kIdempotent)});
+    for (int i = 0; i < 10; ++i) {
+      fixture.MakeCaller().Get("single.example", "/one/1", "a" + std::to_string(i));
+    }
+    CHECK(requests == start);
+  }
+}
+
 TEST_CASE("a success without a signature, or with a content-encoded body, is not forwarded") {
   for (const char* fields : {"Content-Encoding: gzip\r\nResponse-Stamp: s\r\n", ""}) {
     Fixture fixture;
--- a/test/platform/message_codec_test.cc
+++ b/test/platform/message_codec_test.cc
@@ -74,9 +74,9 @@
   const UpstreamAnswer shed = PlatformCodec().DecodeAnswer(response);
   CHECK(shed.not_run);
   CHECK_FALSE(shed.misdirected);
-  REQUIRE(shed.load);
-  CHECK(shed.load->waiting == 1);
-  CHECK(shed.load->slots == Slots(8));
+  REQUIRE(shed.signals.load);
+  CHECK(shed.signals.load->waiting == 1);
+  CHECK(shed.signals.load->slots == Slots(8));
   response = {};
   response.result(421);
   CHECK(PlatformCodec().DecodeAnswer(response).misdirected);
@@ -86,10 +86,60 @@
   response.set(bhttp::field::content_encoding, "gzip");
   const UpstreamAnswer failed = PlatformCodec().DecodeAnswer(response);
   CHECK_FALSE(failed.not_run);
-  CHECK_FALSE(failed.load);
+  CHECK_FALSE(failed.signals.load);
   CHECK(failed.transformed);
 }
 
+TEST_CASE("a target that is leaving is recognized by any of its responses") {
+  for (const unsigned status : {200U, 421U, 500U, 503U}) {
+    http::RawResponse response;
+    response.result(status);
+    CHECK_FALSE(PlatformCodec().DecodeAnswer(response).signals.leaving);
+    response.set("Server-Leaving", "1");
+    CHECK(PlatformCodec().DecodeAnswer(response).signals.leaving);
+    response.set("Server-Leaving", "0");
+    CHECK_FALSE(PlatformCodec().DecodeAnswer(response).signals.leaving);
+  }
+}
+
+TEST_CASE("a rejection states for how long the target wants no requests") {
+  using std::chrono::milliseconds;
+  struct Case {
+    const char* text;
+    std::optional<milliseconds> hold;
+  };
+  const Case cases[] = {
+      {"3", milliseconds(3000)},
+      {"0.25", milliseconds(250)},
+      {"0.0001", milliseconds(1)},
+      {"1e3", std::chrono::seconds(1000)},
+      {"1e300", std::chrono::hours(24)},
+      {"99999999999999999999", std::chrono::hours(24)},
+      {"0", std::nullopt},
+      {"-1", std::nullopt},
+      {"", std::nullopt},
+      {"inf", std::nullopt},
+      {"nan", std::nullopt},
+      {"soon", std::nullopt},
+      {"3 s", std::nullopt},
+      {"Fri, 31 Dec 2027 23:59:59 GMT", std::nullopt},
+  };
+  for (const Case& test : cases) {
+    CAPTURE(test.text);
+    http::RawResponse response;
+    response.set(bhttp::field::retry_after, test.text);
+    for (const unsigned status : {503U, 429U}) {
+      response.result(status);
+      CHECK(PlatformCodec().DecodeAnswer(response).signals.hold == test.hold);
+    }
+    // An answer of a request that ran asks for nothing.
+    for (const unsigned status : {200U, 500U}) {
+      response.result(status);
+      CHECK_FALSE(PlatformCodec().DecodeAnswer(response).signals.hold);
+    }
+  }
+}
+
 TEST_CASE("a merged answer contains the signatures of its parts and the number of missing parts") {
   const http::RawResponse response =
       PlatformCodec().Encode(MergedAnswer{{"s-1", "s-2"}, 1, std::string(32, 'r')});
--- a/test/upstream/connection_test.cc
+++ b/test/upstream/connection_test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/beast/http.hpp>
 #include <future>
+#include <optional>
 
 #include "peridotfork/runtime/worker_pool.h"
 #include "peridotfork/upstream/connection_pool.h"
@@ -58,7 +59,7 @@
   SystemClock clock;
   WorkerPool pool{1};
   TargetPtr endpoint;
-  ConnectionPool connections{pool, clock};
+  ConnectionPool connections{pool, clock, Bytes(1 << 20)};
 };
 
 TEST_CASE("a connection is kept open for the next exchange") {
@@ -141,6 +142,92 @@
   CHECK(fixture.target.connections() == 2);
 }
 
+// Bytes without end, in each place of an answer where a target in trouble may send them.
+TEST_CASE("an answer that never ends is cut off and its memory is released") {
+  const std::string ok = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string block(10000, 'x');
+  struct Case {
+    const char* name;
+    std::string bytes;
+    std::string endless;
+  };
+  const Case cases[] = {
+      {"no HTTP", "", block},
+      {"status line", "HTTP/1.1 200 ", block},
+      {"field", ok + "X: ", block},
+      {"fields", ok, "X: y\r\n"},
+      {"body without a length", ok + "\r\n", block},
+      {"body with a length", ok + "Content-Length: 99999999999\r\n\r\n", block},
+      {"chunks", chunked, "2710\r\n" + block + "\r\n"},
+      {"small chunks", chunked, "1\r\nx\r\n"},
+      {"chunk size", chunked, "0000000000"},
+      {"chunk extension", chunked + "1;", block},
+      {"trailer", chunked + "0\r\nX: ", block},
+      {"trailers", chunked + "0\r\n", "X: y\r\n"},
+      {"informational responses", "", "HTTP/1.1 103 Early\r\n\r\n"},
+      {"answers to another request", "", Answer("b", block)},
+  };
+  for (const Case& test : cases) {
+    CAPTURE(test.name);
+    Fixture fixture([&test](const std::string&) -> TargetAction {
+      return {test.bytes, milliseconds(0), After::kClose, test.endless};
+    });
+    CHECK(fixture.Run("a").state == ExchangeState::kLost);
+    CHECK(fixture.connections.memory().reserved() == Bytes(0));
+    CHECK(fixture.connections.size() == 0);
+  }
+}
+
+TEST_CASE("bytes after an answer are not read without end") {
+  Fixture fixture([](const std::string& header) -> TargetAction {
+    return {Answer(FieldOf(header, "Request-Id"), "own"), milliseconds(0), After::kClose,
+            std::string(10000, 'x')};
+  });
+  CHECK(fixture.Run("a").response.body() == "own");
+  CHECK(fixture.Run("b").response.body() == "own");
+}
+
+TEST_CASE("an answer that drips ends when it is abandoned") {
+  Fixture fixture([](const std::string&) -> TargetAction {
+    return {"HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\n", milliseconds(0), After::kClose, "x",
+            milliseconds(5)};
+  });
+  Fixture::Started started = fixture.Start("a");
+  started.connection->Abandon(started.number, fixture.clock.now() + milliseconds(150));
+  CHECK(started.result.get().state == ExchangeState::kAbandoned);
+}
+
+TEST_CASE("informational responses before an answer are skipped") {
+  Fixture fixture([](const std::string& header) -> TargetAction {
+    return {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nX: y\r\n\r\n" +
+            Answer(FieldOf(header, "Request-Id"), "own")};
+  });
+  CHECK(fixture.Run("a").response.body() == "own");
+  CHECK(fixture.Run("b").response.body() == "own");
+  CHECK(fixture.target.connections() == 1);
+}
+
+TEST_CASE("an answer that finds no memory is read when another one has released some") {
+  constexpr std::size_t kSize = 700'000;
+  Fixture fixture([](const std::string& header) -> TargetAction {
+    return {Answer(FieldOf(header, "Request-Id"), std::string(kSize, 'x'))};
+  });
+  std::optional<ExchangeResult> first = fixture.Run("a");
+  REQUIRE(first->state == ExchangeState::kAnswered);
+  CHECK(first->memory.size() >= Bytes(kSize));
+  Fixture::Started second = fixture.Start("b");
+  Fixture::Started third = fixture.Start("c");
+  CHECK(second.result.wait_for(milliseconds(100)) == std::future_status::timeout);
+  CHECK(fixture.connections.memory().waiting() == 2);
+  first.reset();
+  const bool second_first = second.result.wait_for(milliseconds(500)) == std::future_status::ready;
+  std::optional<ExchangeResult> next = second_first ? second.result.get() : third.result.get();
+  CHECK(next->state == ExchangeState::kAnswered);
+  next.reset();
+  CHECK((second_first ? third : second).result.get().state == ExchangeState::kAnswered);
+}
+
 TEST_CASE("an exchange with a target that refuses connections reports not connected") {
   Fixture fixture([](const std::string&) -> TargetAction { return {}; });
   TargetEntry entry;
--- a/test/upstream/scripted_target.h
+++ b/test/upstream/scripted_target.h
@@ -27,6 +27,10 @@
   std::chrono::milliseconds delay{0};
   // What is done with the connection after the write.
   enum class After { kKeep, kClose, kReset } after = After::kKeep;
+  // If not empty: written again and again after `bytes`, until the caller closes the connection.
+  std::string endless{};
+  // Pause between two writes of `endless`.
+  std::chrono::milliseconds pause{0};
 };
 
 // A target that answers each request with the bytes that `script` returns for its header.
@@ -67,6 +71,7 @@
   }
   int connections() const { return connections_; }
   int requests() const { return requests_; }
+  std::uint64_t endless_bytes() const { return endless_bytes_; }
 
  private:
   void AcceptAll() {
@@ -97,6 +102,10 @@
       buffer.erase(0, size);
       std::this_thread::sleep_for(action.delay);
       boost::asio::write(socket, boost::asio::buffer(action.bytes), error);
+      while (!action.endless.empty() && !error && !stopping_) {
+        endless_bytes_ += boost::asio::write(socket, boost::asio::buffer(action.endless), error);
+        std::this_thread::sleep_for(action.pause);
+      }
       const std::lock_guard lock(close_mutex_);
       if (action.after == TargetAction::After::kReset) {
         socket.set_option(boost::asio::socket_base::linger(true, 0), error);
@@ -116,6 +125,7 @@
   std::atomic<bool> stopping_ = false;
   std::atomic<int> connections_ = 0;
   std::atomic<int> requests_ = 0;
+  std::atomic<std::uint64_t> endless_bytes_ = 0;
   std::vector<std::shared_ptr<Tcp::socket>> sockets_;
   std::vector<std::thread> workers_;
   std::thread thread_;
