Let soak targets ask for a pause, say that they leave, and flood

Change: push_back, which runs beside the main sequence of faults with random numbers of its own, so that earlier seeds give the same faults as before. The ledger checks arrivals during a pause and after a target has said that it leaves.

--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import random
 import signal
 
 from callers import Caller, probe
@@ -14,6 +15,9 @@
 DELAY_S = (0.01, 0.3)
 STORE_DOWN = ("busy", "many", "reset", "silent")
 TARGET_FAULTS = ("errors", "shed", "hang", "lost", "cut", "noise", "twice")
+# Faults of targets that tell hosts to stay away, or send without end; see push_back().
+PUSH_BACK_FAULTS = ("pause", "flood", "leaving")
+PUSH_BACK = "push_back"
 BLACKHOLE_DIRECTIONS = (("up", "down"), ("up",), ("down",))
 ADDRESS_REUSE_DELAY_S = 2.0
 # Bound for a host to handle a signal or to detect changed settings.
@@ -28,12 +32,17 @@
         self.random = fleet.random
         self.ledger = fleet.ledger
         self.running = set()
+        # Separate from the main sequence, so that earlier seeds still give the same faults.
+        self.push_back_random = random.Random(fleet.random.getstate()[1][0])
 
     async def run(self, seconds, kinds):
         """Starts faults for `seconds`, then waits until all have been removed."""
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
-        while loop.time() < end:
+        if PUSH_BACK in kinds:
+            self.running.add(asyncio.ensure_future(self.push_back(end)))
+        kinds = [kind for kind in kinds if kind != PUSH_BACK]
+        while kinds and loop.time() < end:
             name = self.random.choice(kinds)
             print(f"{loop.time() - self.ledger.start:8.3f} fault {name}", flush=True)
             task = asyncio.ensure_future(KINDS[name](self))
@@ -86,6 +95,27 @@
         for target in targets:
             target.behaviour = None
 
+    async def push_back(self, end):
+        """Lets a few targets at a time ask for a pause, say that they leave, or flood."""
+        loop = asyncio.get_running_loop()
+        choose = self.push_back_random
+        while loop.time() < end:
+            live = self.fleet.live_targets(self.fleet.services_in_use())
+            targets = choose.sample(live, min(len(live), choose.randint(1, 4)))
+            fault = choose.choice(PUSH_BACK_FAULTS)
+            print(f"{loop.time() - self.ledger.start:8.3f} {PUSH_BACK} {fault}", flush=True)
+            for target in targets:
+                target.behaviour = fault
+                target.fault_share = 1.0 if fault == "leaving" else choose.uniform(0.1, 1.0)
+                if fault == "leaving":
+                    await self.fleet.add_target(target.service, target.zone)
+            await asyncio.sleep(choose.uniform(*FAULT_S))
+            for target in targets:
+                if fault == "leaving":
+                    asyncio.ensure_future(target.drain_and_stop(True, DRAIN_S + 0.5))
+                elif target.behaviour == fault:
+                    target.behaviour = None
+
     async def leaving_targets(self):
         for target in self._sample_targets(2):
             await self.fleet.add_target(target.service, target.zone)
@@ -284,8 +314,10 @@
             await asyncio.sleep(POISON_PAUSE_S)
 
 
+# The kinds of the main sequence of faults, which a seed determines by their order.
 KINDS = {name: method for name, method in vars(Faults).items()
-         if asyncio.iscoroutinefunction(method) and not name.startswith("_") and name != "run"}
+         if asyncio.iscoroutinefunction(method) and not name.startswith("_")
+         and name not in ("run", PUSH_BACK)}
 
 
 async def probe_versions(fleet):
--- a/test/soak/ledger.py
+++ b/test/soak/ledger.py
@@ -25,6 +25,7 @@
 RECORD_BYTES = 16
 # Numbers of requests that the rules of the platform tolerate before a check fails.
 GONE_ALLOWED = 3
+PAUSE_ARRIVALS_ALLOWED = 2
 OVER_ATTEMPTS_ALLOWED = 3
 POISON_CRASHES = 3
 POISON_RETRIES_ALLOWED = 3
@@ -75,6 +76,10 @@
         # Of hosts, targets, "store" and "soak": [(start, end, is planned)].
         self.disturbed = defaultdict(list)
         self.closed_targets = {}  # target id -> time from which it must get no new work
+        # (host, target) -> when the target first told the host that it leaves.
+        self.told_leaving = {}
+        # (host, target) -> [start and end of the pause, arrivals in it] of the last pause asked for.
+        self.told_pause = {}
         self.evacuations = []  # [zone, acknowledged, revoked or None]
         self.cold_arrivals = defaultdict(list)
         self.service_arrivals = defaultdict(list)  # service -> [(time, is repeat)]
@@ -139,6 +144,7 @@
             self.violation("ROUTE", f"{request_id} of {sent.route} reached {target.service}")
         self._check_timeout_header(sent, message, now)
         self._check_closed(sent, target, now)
+        self._check_told(sent, target, now)
         if sent.left is not None and now > sent.left + LATE_SLACK_S and self.host_is_stable(
                 sent.host, now):
             self.counts["gone"] += 1
@@ -169,6 +175,35 @@
                 self.violation("EVAC", f"{sent.id} from {sent.host} reached {target.id} "
                                        f"{now - acknowledged:.2f} s after {zone} was drained")
 
+    def on_told_leaving(self, target, message):
+        """Records that a target tells a host that it leaves."""
+        sent = self.sent.get(message.header("Request-Id"))
+        if sent is not None:
+            self.told_leaving.setdefault((sent.host, target.id), time.monotonic())
+
+    def on_told_pause(self, target, message, pause_s):
+        """Records that a target asks a host for no requests for `pause_s`."""
+        sent = self.sent.get(message.header("Request-Id"))
+        if sent is not None:
+            now = time.monotonic()
+            known = self.told_pause.get((sent.host, target.id))
+            if known is None or now + pause_s > known[1]:
+                self.told_pause[(sent.host, target.id)] = [now + LATE_SLACK_S, now + pause_s, 0]
+
+    def _check_told(self, sent, target, now):
+        if not self.host_is_stable(sent.host, now) or not self.is_stable(target.id, now):
+            return
+        told = self.told_leaving.get((sent.host, target.id))
+        if told is not None and sent.start > told + DRAIN_S:
+            self.violation("DRAIN", f"{sent.id} from {sent.host} reached {target.id} "
+                                    f"{now - told:.2f} s after it had said that it leaves")
+        pause = self.told_pause.get((sent.host, target.id))
+        if pause is not None and pause[0] < now < pause[1]:
+            pause[2] += 1
+            if pause[2] == PAUSE_ARRIVALS_ALLOWED + 1:
+                self.violation("BUDGET", f"{sent.id} from {sent.host} reached {target.id} "
+                                         f"{pause[1] - now:.2f} s before the end of its pause")
+
     def _check_cold(self, target, now):
         times = self.cold_arrivals[target.id]
         times.append(now)
--- a/test/soak/targets.py
+++ b/test/soak/targets.py
@@ -14,6 +14,8 @@
 COLD_SLOWDOWN = 1.6
 COLD_PER_S = 2.5
 KEEP_ALIVE_S = 5
+PAUSE_S = (1.0, 4.0)
+FLOOD_CHUNK = b"x" * 65536
 # A request with this header crashes every target that starts to execute it.
 POISON_HEADER = "X-Poison"
 
@@ -140,6 +142,14 @@
         fault = self.behaviour if self.fleet.random.random() < self.fault_share else None
         full = self.running >= self.slots and self.waiting >= QUEUE
         self.fleet.ledger.on_arrival(self, request)
+        if self.is_leaving():
+            self.fleet.ledger.on_told_leaving(self, request)
+        if fault == "pause":
+            pause_s = round(self.fleet.random.uniform(*PAUSE_S), 1)
+            self.fleet.ledger.on_told_pause(self, request, pause_s)
+            return await self._refuse(writer, request, 503, [("Retry-After", str(pause_s))])
+        if fault == "flood":
+            return await self._flood(request, writer)
         if fault == "shed" or full:
             return await self._refuse(writer, request, 503)
         if not await self._take_slot(int(request.header("Timeout-Ms") or 1000) / 1000):
@@ -174,14 +184,27 @@
         self.running += 1
         return True
 
-    async def _refuse(self, writer, request, status):
+    async def _refuse(self, writer, request, status, headers=()):
         writer.write(encode(f"HTTP/1.1 {status} X", self._headers(request) + [
-            ("Not-Executed", "1")], b"not run"))
+            ("Not-Executed", "1"), *headers], b"not run"))
         await writer.drain()
         return True
 
+    async def _flood(self, request, writer):
+        """Sends a body without end, until the caller closes the connection."""
+        head = "".join(f"{name}: {value}\r\n" for name, value in self._headers(request))
+        writer.write(f"HTTP/1.1 200 X\r\n{head}Response-Stamp: flood\r\n\r\n".encode())
+        while not writer.transport.is_closing():
+            writer.write(FLOOD_CHUNK)
+            await writer.drain()
+        return False
+
+    def is_leaving(self):
+        return self.state == "draining" or self.behaviour == "leaving"
+
     def _headers(self, request):
-        return [("Request-Id", request.header("Request-Id")),
+        leaving = [("Server-Leaving", "1")] if self.is_leaving() else []
+        return leaving + [("Request-Id", request.header("Request-Id")),
                 ("Server-Load", f"{self.running},{self.waiting},{self.slots}"),
                 ("Keep-Alive", f"timeout={KEEP_ALIVE_S}")]
 
