Derive the length of store watches from the platform's bound

Connects to the store are given up after 300 ms instead of 1 s. Before its first listing a host asks callers to come back after 60 ms instead of 300 ms, if no call has failed. The log and the metrics of a request say how often an attempt had no target or no budget.

--- a/include/peridotfork/balance/target_table.h
+++ b/include/peridotfork/balance/target_table.h
@@ -42,6 +42,14 @@
 
 enum class AttemptPurpose { kFirst, kRetry, kHedge };
 
+// Why no attempt was started.
+enum class PickFailure {
+  // No target of the service may be sent the request now.
+  kNoTarget,
+  // The budget of the service does not allow a retry or hedge.
+  kNoBudget,
+};
+
 struct PickRequest {
   const Route* route = nullptr;
   ServiceId service;
@@ -68,9 +76,9 @@
               const std::set<DataCentreId>& drained,
               const Catalogue* catalogue);
 
-  // Picks a target and starts an attempt on it. Returns null if no target is
-  // eligible, or if the budget does not allow a retry or hedge.
-  AttemptPtr Pick(const PickRequest& request);
+  // Picks a target and starts an attempt on it. Returns null and sets `failure`, if given, if no
+  // target is eligible or if the budget does not allow a retry or hedge.
+  AttemptPtr Pick(const PickRequest& request, PickFailure* failure = nullptr);
 
   // Records the outcome of an attempt. Further calls for the same attempt have no
   // effect.
--- a/include/peridotfork/config/settings.h
+++ b/include/peridotfork/config/settings.h
@@ -61,6 +61,8 @@
   Address metrics_address;
   std::string ready_path;
   Address store_address;
+  // Longest time for which the store may be unresponsive unnoticed.
+  std::chrono::milliseconds store_max_silence{4000};
   // Inner addresses of the processes through which all others are discovered.
   std::vector<Address> seeds;
   std::uint32_t max_in_flight = 0;
--- a/include/peridotfork/discovery/metadata_store.h
+++ b/include/peridotfork/discovery/metadata_store.h
@@ -56,6 +56,9 @@
 
   virtual ~MetadataStore() = default;
 
+  // Time allowed for a reply, in addition to the wait of a watch.
+  static constexpr std::chrono::milliseconds kReplyTimeout{1000};
+
   // Lists one page of all entries; the first one if `page` is empty.
   virtual void List(const std::string& page, Callback done) = 0;
 
--- a/include/peridotfork/discovery/store_follower.h
+++ b/include/peridotfork/discovery/store_follower.h
@@ -20,10 +20,15 @@
 namespace peridotfork {
 
 struct FollowerOptions {
-  // How long the store holds a watch without changes. An unresponsive store is detected after
-  // this time plus the time allowed for a reply. The sum must stay within four seconds, after
-  // which the platform expects a host to act on the newest state again.
-  std::chrono::milliseconds watch_duration{2900};
+  // Longest time for which the store may be unresponsive unnoticed. The platform expects a host to
+  // act on the newest state again after this time.
+  std::chrono::milliseconds max_silence{4000};
+  // Time to connect anew and to read the changes after a silence was noticed.
+  std::chrono::milliseconds catch_up{100};
+  // How long the store holds a watch without changes.
+  std::chrono::milliseconds watch_duration() const {
+    return max_silence - MetadataStore::kReplyTimeout - catch_up;
+  }
   // Delay between a reply with changes and the next watch, so that changes in quick succession
   // share a call.
   std::chrono::milliseconds batch_delay{900};
--- a/include/peridotfork/gateway/request_log.h
+++ b/include/peridotfork/gateway/request_log.h
@@ -28,6 +28,9 @@
   std::size_t answered = 0;
   std::uint32_t hedges = 0;
   std::uint32_t retries = 0;
+  // How often no attempt could be sent for lack of a target, and for lack of budget.
+  std::uint32_t no_target = 0;
+  std::uint32_t no_budget = 0;
   // Outcome of the last failed attempt, such as a timeout.
   std::string fault;
   // Shards that did not answer, each with the targets tried.
--- a/include/peridotfork/gateway/request_runner.h
+++ b/include/peridotfork/gateway/request_runner.h
@@ -113,6 +113,8 @@
   // The last failure response that carries a target's signature.
   std::optional<UpstreamAnswer> failure_;
   std::string last_fault_;
+  std::uint32_t no_target_ = 0;
+  std::uint32_t no_budget_ = 0;
   // Computed on first use.
   std::optional<std::uint64_t> fingerprint_;
   // Number of liveness checks for this request, and when its first loss was noticed.
--- a/src/balance/target_table.cc
+++ b/src/balance/target_table.cc
@@ -111,7 +111,13 @@
   }
 }
 
-AttemptPtr TargetTable::Pick(const PickRequest& request) {
+AttemptPtr TargetTable::Pick(const PickRequest& request, PickFailure* failure) {
+  const auto fail = [failure](PickFailure reason) {
+    if (failure != nullptr) {
+      *failure = reason;
+    }
+    return nullptr;
+  };
   const RankedLock lock(mutex_);
   const BootTime now = clock_.now();
   ServiceTargets& service = Service(request.service);
@@ -120,12 +126,12 @@
   }
   Target* const best = PickBest(service, request, now);
   if (best == nullptr) {
-    return nullptr;
+    return fail(PickFailure::kNoTarget);
   }
   const bool hedge_allowed = service.extra.tokens() >= 1 + options_.hedge_reserve;
   if ((request.purpose == AttemptPurpose::kHedge && !hedge_allowed) ||
       (request.purpose != AttemptPurpose::kFirst && !service.extra.TryTake())) {
-    return nullptr;
+    return fail(PickFailure::kNoBudget);
   }
   AttemptPtr attempt(new Attempt(TargetPtr(best), now));
   attempt->typical_latency = TypicalLatency(*request.route);
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -125,6 +125,11 @@
           MakeKey<S, &S::store_address>("store", "address", nullptr,
                                         "Address of the store that publishes the configuration "
                                         "and the targets."),
+          MakeKey<S, &S::store_max_silence>(
+              "store", "max_silence", "4s",
+              "Longest time for which the store may be unresponsive unnoticed. A longer time needs "
+              "fewer calls.",
+              {2'000, 60'000}),
           MakeKey<S, &S::seeds>("peers", "seeds", "",
                                 "Inner addresses of a few gateways, optionally including this one, "
                                 "through which all gateways discover each other."),
--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -86,7 +86,7 @@
     const RankedLock lock(mutex_);
     after = revision_.value_or(StoreRevision(0));
   }
-  store_.Watch(after, options_.watch_duration,
+  store_.Watch(after, options_.watch_duration(),
                [this](Result<StoreReply> reply) { OnChanges(std::move(reply)); });
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -21,6 +21,8 @@
 constexpr std::chrono::milliseconds kCloseIdleInterval{500};
 // Delay before connecting to peers, so that callers are served first.
 constexpr std::chrono::seconds kPeerConnectDelay{3};
+// Retry-After while the first listing of the store is in progress, and after calls have failed.
+constexpr std::chrono::milliseconds kRetryAfterStart{60};
 constexpr std::chrono::milliseconds kRetryAfterNoCatalogue{300};
 // Retry-After of a refusal because of overload.
 constexpr std::chrono::milliseconds kRetryAfterOverload{200};
@@ -72,7 +74,8 @@
                 context.clock,
                 *adapters_.store,
                 context.log,
-                [this](const FleetDirectory& directory) { OnDirectory(directory); }),
+                [this](const FleetDirectory& directory) { OnDirectory(directory); },
+                {.max_silence = settings.store_max_silence}),
       status_server_(context.pool.context(), {}, *this),
       metrics_server_(context.pool.context(), {}, *this),
       acceptor_(asio::make_strand(context.pool.context())),
@@ -232,7 +235,7 @@
   if (routed.catalogue == nullptr) {
     return refuse(
         503, MakeError(ErrorKind::kNoConfiguration, "gateway", "no configuration received yet"),
-        kRetryAfterNoCatalogue);
+        follower_.failures() == 0 ? kRetryAfterStart : kRetryAfterNoCatalogue);
   }
   routed.route = routed.catalogue->FindRoute(routed.ingress.host, routed.ingress.path);
   if (routed.route == nullptr) {
--- a/src/gateway/request_log.cc
+++ b/src/gateway/request_log.cc
@@ -26,6 +26,14 @@
       .Add(record.hedges);
   metrics_.CounterOf("peridotfork_retries_total", "Attempts after failed ones.")
       .Add(record.retries);
+  metrics_
+      .CounterOf("peridotfork_unsent_attempts_total", "Attempts that could not be sent, by reason.",
+                 "reason=\"no_target\"")
+      .Add(record.no_target);
+  metrics_
+      .CounterOf("peridotfork_unsent_attempts_total", "Attempts that could not be sent, by reason.",
+                 "reason=\"no_budget\"")
+      .Add(record.no_budget);
   log_.Request("The request ended.",
                {{"request", record.id.value()},
                 {"route", record.route.value()},
@@ -36,6 +44,8 @@
                 {"answered", std::to_string(record.answered) + "/" + std::to_string(record.shards)},
                 {"hedges", std::to_string(record.hedges)},
                 {"retries", std::to_string(record.retries)},
+                {"no_target", std::to_string(record.no_target)},
+                {"no_budget", std::to_string(record.no_budget)},
                 {"fault", record.fault},
                 {"missing", record.missing}});
 }
--- a/src/gateway/request_runner.cc
+++ b/src/gateway/request_runner.cc
@@ -139,8 +139,11 @@
 void RequestRunner::Send(const FanOut::AttemptSpec& spec, BootTime now) {
   Shard& shard = shards_[spec.shard];
   const ServiceId& service = request_.services[spec.shard];
-  AttemptPtr attempt = context_.targets.Pick({request_.route, service, spec.purpose, shard.tried});
+  PickFailure failure{};
+  AttemptPtr attempt =
+      context_.targets.Pick({request_.route, service, spec.purpose, shard.tried}, &failure);
   if (attempt == nullptr) {
+    ++(failure == PickFailure::kNoTarget ? no_target_ : no_budget_);
     fan_out_.OnNoTarget(spec, now);
     return;
   }
@@ -370,6 +373,8 @@
   record.answered = fan_out_.answered_count();
   record.hedges = fan_out_.hedges();
   record.retries = fan_out_.retries();
+  record.no_target = no_target_;
+  record.no_budget = no_budget_;
   record.fault = last_fault_;
   for (std::size_t i = 0; i < shards_.size(); ++i) {
     if (fan_out_.answered(i)) {
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -22,8 +22,8 @@
 // Maximum size of a reply: twice the platform's limit of one megabyte for a value, with room for
 // the base64 encoding and the other items of a page.
 constexpr std::uint64_t kMaxReplyBytes = 4'000'000;
-// Time allowed for a reply in addition to the requested wait.
-constexpr milliseconds kReplyTimeout{1000};
+// The store accepts connections within milliseconds even when its replies are slow.
+constexpr milliseconds kConnectTimeout{300};
 
 // Decodes standard base64 with padding; none if `text` is anything else.
 std::optional<std::string> DecodeBase64(const std::string& text) {
@@ -160,7 +160,7 @@
     return;
   }
   connection_.reset(new http::ClientConnection(context_, address_, kMaxReplyBytes));
-  connection_->Connect(kReplyTimeout,
+  connection_->Connect(kConnectTimeout,
                        [this, request = std::move(request), timeout, decode,
                         done = std::move(done)](const Result<void>& connected) mutable {
                          if (!connected.has_value()) {
