Test the reports of other operators at the gateway

Cause: reports of what went wrong for operators of similar systems; each needs a test here.

Change: a graceful shutdown under six callers, answers that break off, a request in progress on a target that the store no longer lists, and a restart beside a target that has left. No fault was found; second copies of answers, lost answers and odd entries have tests already.

--- a/test/gateway/gateway_test.cc
+++ b/test/gateway/gateway_test.cc
@@ -716,6 +716,97 @@
   CHECK(idle.Receive().result_int() == 0);
 }
 
+// Guards against requests that are cut off because they were accepted just after the stop began.
+TEST_CASE("a graceful shutdown under load answers each request that it has accepted") {
+  Fixture fixture;
+  fixture.AddTarget("one", Answering("notes", milliseconds(5)));
+  ServiceSpec service{ServiceId("one"), Connections(200), Rate(0)};
+  fixture.Publish({SingleRoute(Repeatability::kIdempotent)}, 1, {service});
+  constexpr int kCallers = 6;
+  std::atomic<int> answered = 0;
+  std::atomic<int> lost = 0;
+  std::atomic<bool> drain_begun = false;
+  std::vector<std::thread> threads;
+  for (int i = 0; i < kCallers; ++i) {
+    threads.emplace_back([&, i] {
+      // New connections are accepted until the load balancer has noticed the stop.
+      const auto end = std::chrono::steady_clock::now() + milliseconds(2700);
+      for (int n = 0; std::chrono::steady_clock::now() < end; ++n) {
+        Caller caller = fixture.MakeCaller();
+        bool keep = true;
+        for (int j = 0; keep && std::chrono::steady_clock::now() < end; ++j) {
+          const std::string id =
+              std::to_string(i) + "-" + std::to_string(n) + "-" + std::to_string(j);
+          const Response response = caller.Get("single.example", "/one/1", id);
+          ++(response.result_int() == 200 && response.body() == "notes" ? answered : lost);
+          keep = response.result_int() == 200 && response.keep_alive();
+          CHECK((keep || drain_begun));
+        }
+      }
+    });
+  }
+  std::this_thread::sleep_for(milliseconds(200));
+  drain_begun = true;
+  fixture.gateway->BeginDrain();
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  CHECK(lost == 0);
+  CHECK(answered > 200);
+  for (int i = 0; i < 800 && !fixture.gateway->drained(); ++i) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  CHECK(fixture.gateway->drained());
+}
+
+TEST_CASE("an answer that breaks off halfway is no success") {
+  for (const After after : {After::kClose, After::kReset}) {
+    Fixture fixture;
+    fixture.AddTarget("one", [after](const std::string& header) -> TargetAction {
+      const std::string whole = Answer(FieldOf(header, "Request-Id"), std::string(100, 'x'));
+      return {whole.substr(0, whole.size() - 1), milliseconds(0), after};
+    });
+    fixture.Publish({SingleRoute(Repeatability::kIdempotent)});
+    const Response response = fixture.MakeCaller().Get("single.example", "/one/1", "a");
+    CHECK(response.result_int() == 502);
+    CHECK(response.find("Response-Stamp") == response.end());
+  }
+}
+
+// A target that the store no longer lists may only have been slow to report.
+TEST_CASE(
+    "a request in progress on a target that leaves the store is neither repeated nor given up") {
+  Fixture fixture;
+  ScriptedTarget& running = fixture.AddTarget("one", Answering("notes", milliseconds(300)));
+  fixture.Publish({SingleRoute(Repeatability::kAtMostOnce)});
+  Caller caller = fixture.MakeCaller();
+  caller.Send("single.example", "/one/1", "a");
+  std::this_thread::sleep_for(milliseconds(50));
+  ScriptedTarget& other = fixture.AddTarget("one", Answering("other"));
+  fixture.pending.emplace_back(TargetRemoved{TargetId("i-1")});
+  fixture.store->Push(std::exchange(fixture.pending, {}));
+  const Response response = caller.Receive();
+  CHECK(response.result_int() == 200);
+  CHECK(response.body() == "notes");
+  CHECK(running.requests() == 1);
+  CHECK(other.requests() == 0);
+}
+
+TEST_CASE("a restarted gateway uses no target that has left meanwhile") {
+  for (int start = 0; start < 2; ++start) {
+    Fixture fixture;
+    ScriptedTarget& leaving = fixture.AddTarget("one", Answering("leaving"));
+    fixture.AddTarget("one", Answering("staying"));
+    std::get<TargetReported>(fixture.pending.front()).entry.draining = true;
+    fixture.Publish({SingleRoute(Repeatability::kIdempotent)});
+    for (int i = 0; i < 10; ++i) {
+      CHECK(fixture.MakeCaller().Get("single.example", "/one/1", std::to_string(i)).body() ==
+            "staying");
+    }
+    CHECK(leaving.requests() == 0);
+  }
+}
+
 TEST_CASE("a new configuration version applies to the next request") {
   Fixture fixture;
   fixture.AddTarget("one", Answering("old"));
