--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -23,7 +23,7 @@
 
 constexpr std::uint32_t kHeaderLimit = 8 * 1024;
 // Maximum number of received bytes that are not yet parsed, such as an incomplete chunk extension.
-constexpr std::size_t kBufferLimit = 64 * 1024;
+constexpr std::size_t kBufferLimit = 65536;
 
 int HexDigit(char character) {
   if (character >= '0' && character <= '9') {
--- a/test/gateway/gateway_test.cc
+++ b/test/gateway/gateway_test.cc
@@ -727,6 +727,7 @@
   std::atomic<int> lost = 0;
   std::atomic<bool> drain_begun = false;
   std::vector<std::thread> threads;
+  threads.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     threads.emplace_back([&, i] {
       // New connections are accepted until the load balancer has noticed the stop.
