Clamp the required shards, and check starts only against a clock that is set

Cause: found while reading the change: a min_coverage above 1 was accepted, and TimeToEnoughTargets() would then have read past the list of its services; and a host whose clock is not set would have refused the entries of all targets as started in the future.

Change: min_coverage above 1 is out of range; RequiredShards() lies between one and all shards.

Result: new checks in catalogue_codec_test, fan_out_test and fleet_directory_test pass; the first and the last fail without the change.

--- a/include/peridotfork/fanout/fan_out.h
+++ b/include/peridotfork/fanout/fan_out.h
@@ -50,7 +50,7 @@
 
 std::string_view FanOutOutcomeName(FanOutOutcome outcome);
 
-// Minimum number of answered shards for a success; at least one.
+// Minimum number of answered shards for a success; from one to all of them.
 std::size_t RequiredShards(std::size_t shards, double required_coverage);
 
 // State machine that runs one request over its shards: decides when to send first attempts,
--- a/src/discovery/fleet_directory.cc
+++ b/src/discovery/fleet_directory.cc
@@ -7,7 +7,9 @@
 namespace {
 
 // Tolerance for the difference between the clocks of this host and of targets.
-constexpr std::chrono::hours kMaxClockDifference{1};
+constexpr std::chrono::hours kMaxClockDifference{24};
+// A clock that shows an earlier time, 45 years after the epoch, is not set.
+constexpr std::chrono::hours kEarliestClock{24 * 365 * 45};
 
 // Whether `entry` is an older report than `known` of the same target.
 bool IsOlder(const TargetEntry& entry, const TargetEntry& known) {
@@ -98,7 +100,8 @@
 
 bool FleetDirectory::IsPlausible(const TargetEntry& entry) const {
   using std::chrono::milliseconds;
-  if (!entry.started_ms) {
+  const bool clock_is_set = clock_.wall_now().time_since_epoch() >= kEarliestClock;
+  if (!entry.started_ms || !clock_is_set) {
     return true;
   }
   const auto now = std::chrono::duration_cast<milliseconds>(clock_.wall_now().time_since_epoch() +
--- a/src/fanout/fan_out.cc
+++ b/src/fanout/fan_out.cc
@@ -19,8 +19,9 @@
 std::size_t RequiredShards(std::size_t shards, double required_coverage) {
   // Rounding tolerance: prevents a coverage such as 0.9 of 10 shards from requiring all 10.
   constexpr double kRounding = 1e-9;
-  const double share = required_coverage * static_cast<double>(shards);
-  return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(share - kRounding)));
+  const auto all = static_cast<double>(std::max<std::size_t>(1, shards));
+  const double required = std::ceil(required_coverage * static_cast<double>(shards) - kRounding);
+  return static_cast<std::size_t>(std::clamp(required, 1.0, all));
 }
 
 FanOut::FanOut(FanOutPlan plan) : plan_(plan), shards_(plan.shards) {}
--- a/src/platform/catalogue_codec.cc
+++ b/src/platform/catalogue_codec.cc
@@ -77,7 +77,7 @@
     reader.Fail(ErrorKind::kOutOfRange, reader.Path("gather"));
   }
   gather.top_records = reader.NonNegative<std::uint32_t>("top_k");
-  gather.required_coverage = reader.NonNegative<double>("min_coverage");
+  gather.required_coverage = reader.NonNegative<double>("min_coverage", 1.0);
   return gather;
 }
 
--- a/test/discovery/fleet_directory_test.cc
+++ b/test/discovery/fleet_directory_test.cc
@@ -60,6 +60,20 @@
   }
 }
 
+// A clock that has not been set yet; it shows a time close to the epoch.
+class UnsetClock final : public Clock {
+ public:
+  BootTime now() const override { return BootTime(std::chrono::hours(1)); }
+  WallTime wall_now() const override { return WallTime(std::chrono::hours(1)); }
+};
+
+TEST_CASE("a host whose clock is not set uses all targets") {
+  const UnsetClock clock;
+  FleetDirectory directory(clock);
+  directory.Apply({TargetReported{Entry("a", 1'700'000'000'000, 6)}});
+  CHECK(directory.targets().size() == 1);
+}
+
 TEST_CASE("a target restarted under its id may report a lower sequence number") {
   const ManualClock clock;
   FleetDirectory directory(clock);
--- a/test/fanout/fan_out_test.cc
+++ b/test/fanout/fan_out_test.cc
@@ -40,6 +40,15 @@
   CHECK(fan_out.Outcome(kStart) == FanOutOutcome::kComplete);
 }
 
+TEST_CASE("the required shards lie between one and all") {
+  CHECK(RequiredShards(10, 0.89) == 9);
+  CHECK(RequiredShards(10, 0.9) == 9);
+  CHECK(RequiredShards(10, 0) == 1);
+  CHECK(RequiredShards(10, 1) == 10);
+  CHECK(RequiredShards(10, 1.5) == 10);
+  CHECK(RequiredShards(1, 1e300) == 1);
+}
+
 TEST_CASE("a slow shard is hedged once, after the delay") {
   FanOut fan_out(Plan(1));
   SendAll(fan_out, kStart);
--- a/test/platform/catalogue_codec_test.cc
+++ b/test/platform/catalogue_codec_test.cc
@@ -50,6 +50,7 @@
       {"/routes/0/route_type", "both", ErrorKind::kUnknownName},
       {"/routes/0/gather", json::array(), ErrorKind::kOutOfRange},
       {"/routes/0/gather/0", "s2", ErrorKind::kWrongType},
+      {"/routes/0/min_coverage", 1.01, ErrorKind::kOutOfRange},
       {"/routes/1/timeout_ms", json(), ErrorKind::kWrongType},
       {"/routes/2/traffic_split", json::array(), ErrorKind::kOutOfRange},
       {"/services/0/max_conns", "many", ErrorKind::kWrongType},
