Refuse base64 of a length that is not a multiple of four before decoding it

Cause: found by address sanitizer on an odd entry of the store ("abc"): the decoder states a size for whole groups of four characters, and writes up to two bytes past it for a last group that is not whole; the length was checked only after decoding.

Change: the length is checked first. More values of this kind in the test.

--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -28,10 +28,15 @@
 // Decodes standard base64 with padding; none if `text` is anything else.
 std::optional<std::string> DecodeBase64(const std::string& text) {
   namespace base64 = boost::beast::detail::base64;
+  // The decoder writes past the size that it states for text that is not made of whole groups.
+  constexpr std::size_t kGroup = 4;
+  if (text.size() % kGroup != 0) {
+    return std::nullopt;
+  }
   std::string bytes(base64::decoded_size(text.size()), '\0');
   const auto [written, read] = base64::decode(bytes.data(), text.data(), text.size());
   const std::size_t padding = text.size() - read;
-  if (text.size() % 4 != 0 || padding > 2 || text.find_first_not_of('=', read) != text.npos) {
+  if (padding > 2 || text.find_first_not_of('=', read) != text.npos) {
     return std::nullopt;
   }
   bytes.resize(written);
--- a/test/platform/store_client_test.cc
+++ b/test/platform/store_client_test.cc
@@ -65,7 +65,8 @@
 
 TEST_CASE("an unreadable entry gives no target and does not affect the others") {
   for (const std::string& value :
-       {std::string("!!!"), std::string("abc"), Base64("{}"), Base64("\xff"),
+       {std::string("!!!"), std::string("abc"), std::string("a"), std::string("YWJjYQ"),
+        std::string("YWJjY==="), std::string(100'001, 'A'), Base64("{}"), Base64("\xff"),
         Base64(std::string(200'000, '[')), Base64(std::string(100'000, '[') + "1e999")}) {
     CAPTURE(value);
     const auto reply = DecodeRange(
