--- a/review/1/case.py
+++ b/review/1/case.py
@@ -61,6 +61,7 @@
     if standins.TROUBLE:
         fleet.store.put(ODD_KEY, ODD_VALUE)
     await asyncio.sleep(4)
+    fleet.publish()  # The final fault strikes right after an acknowledgement.
     fault = fleet.record.now()
     before = share(0, fault)
     await asyncio.gather(*(gateway.kill() for gateway in fleet.gateways))
