Encode the path and the query of requests that the HTTP client sends

The store answered 400, and the follower began the listing again, without end. Evidence: on each host "A value in the store was refused." and "HTTP status 400" follow each other within 10 ms, "Listed the store." never comes, and the record of the store has the request line with its spaces.

Change: http::EncodeTarget percent-encodes the path and the query of each request of the HTTP client; http::DecodeTarget, moved out of the server, is its counterpart and replaces a second one in the stand-in target, which did not decode. It works for any key, since every byte that may mean something in a request line is encoded.

--- a/include/peridotfork/http/message.h
+++ b/include/peridotfork/http/message.h
@@ -11,6 +11,7 @@
 
 namespace peridotfork::http {
 
+// The path and the query hold any bytes; they are percent-encoded on the wire only.
 struct Request {
   std::string method;
   std::string path;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -10,6 +10,8 @@
 #include <charconv>
 #include <utility>
 
+#include "peridotfork/http/request_target.h"
+
 namespace peridotfork::http {
 namespace {
 
@@ -89,14 +91,7 @@
   HttpRequest message;
   message.version(11);
   message.method_string(request.method);
-  std::string target = request.path;
-  char separator = '?';
-  for (const auto& [key, value] : request.query) {
-    target += separator;
-    target.append(key).append(1, '=').append(value);
-    separator = '&';
-  }
-  message.target(target);
+  message.target(EncodeTarget(request));
   message.set(bhttp::field::host, address_.value());
   message.keep_alive(true);
   if (!request.body.empty()) {
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "peridotfork/http/client.h"
+#include "peridotfork/http/request_target.h"
 
 namespace peridotfork::http {
 namespace {
@@ -25,48 +26,6 @@
 // Maximum number of received bytes that are not yet parsed, such as an incomplete chunk extension.
 constexpr std::size_t kBufferLimit = 65536;
 
-int HexDigit(char character) {
-  if (character >= '0' && character <= '9') {
-    return character - '0';
-  }
-  const char lower = static_cast<char>(character | 0x20);
-  return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
-}
-
-// Decodes %XX; an invalid escape is kept unchanged.
-std::string PercentDecode(std::string_view text) {
-  std::string decoded;
-  for (std::size_t i = 0; i < text.size(); ++i) {
-    if (text[i] == '%' && i + 2 < text.size() && HexDigit(text[i + 1]) >= 0 &&
-        HexDigit(text[i + 2]) >= 0) {
-      decoded += static_cast<char>(HexDigit(text[i + 1]) * 16 + HexDigit(text[i + 2]));
-      i += 2;
-    } else {
-      decoded += text[i];
-    }
-  }
-  return decoded;
-}
-
-void ParseTarget(std::string_view target, Request* request) {
-  const std::size_t mark = target.find('?');
-  request->path = PercentDecode(target.substr(0, mark));
-  if (mark == std::string_view::npos) {
-    return;
-  }
-  std::string_view rest = target.substr(mark + 1);
-  while (!rest.empty()) {
-    const std::size_t end = rest.find('&');
-    const std::string_view pair = rest.substr(0, end);
-    const std::size_t equals = pair.find('=');
-    if (equals != std::string_view::npos) {
-      request->query[PercentDecode(pair.substr(0, equals))] =
-          PercentDecode(pair.substr(equals + 1));
-    }
-    rest = end == std::string_view::npos ? std::string_view() : rest.substr(end + 1);
-  }
-}
-
 // One accepted connection; kept alive by its pending operations.
 class Session : public boost::intrusive_ref_counter<Session> {
  public:
@@ -146,7 +105,7 @@
     keep_alive_ = message.keep_alive();
     Request request;
     request.method = std::string(message.method_string());
-    ParseTarget({message.target().data(), message.target().size()}, &request);
+    DecodeTarget({message.target().data(), message.target().size()}, request);
     request.body = std::move(parser_->get().body());
     stream_.expires_never();
     ++shared_->in_flight;
--- a/src/standin/target_listener.cc
+++ b/src/standin/target_listener.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "peridotfork/http/client.h"
+#include "peridotfork/http/request_target.h"
 
 namespace peridotfork::standin {
 namespace {
@@ -24,23 +25,6 @@
   socket.close(ignored);
 }
 
-// Splits a request target such as "/journal?a=1" into path and query. Does not
-// decode escapes, because the clients of the stand-in send none.
-void SplitTarget(const std::string& target, http::Request& request) {
-  const std::size_t mark = target.find('?');
-  request.path = target.substr(0, mark);
-  std::size_t from = mark;
-  while (from != std::string::npos) {
-    const std::size_t next = target.find('&', from + 1);
-    const std::string pair =
-        target.substr(from + 1, next == std::string::npos ? next : next - from - 1);
-    const std::size_t equals = pair.find('=');
-    request.query[pair.substr(0, equals)] =
-        equals == std::string::npos ? "" : pair.substr(equals + 1);
-    from = next;
-  }
-}
-
 }  // namespace
 
 TargetSession::TargetSession(tcp::socket socket, boost::intrusive_ptr<TargetListener> listener)
@@ -95,7 +79,7 @@
   auto message = parser_->release();
   http::Request request;
   request.method = std::string(message.method_string());
-  SplitTarget(std::string(message.target()), request);
+  http::DecodeTarget({message.target().data(), message.target().size()}, request);
   request.body = std::move(message.body());
   control_connection_ =
       control_connection_ || request.path == "/control" || request.path == "/journal";
--- a/test/http/server_test.cc
+++ b/test/http/server_test.cc
@@ -64,6 +64,23 @@
   CHECK(response.Header("x-revision") == "7");
 }
 
+// Guards against a request line that is malformed because a value of the query is sent unencoded.
+TEST_CASE("any bytes in the path and the query of a request arrive unchanged") {
+  Fixture fixture;
+  std::string all_bytes;
+  for (int byte = 0; byte < 256; ++byte) {
+    all_bytes += static_cast<char>(byte);
+  }
+  for (const std::string& value :
+       {std::string("a copy of i-1"), std::string("a+b&c=d#e?f"), std::string("100%41"),
+        std::string("\r\n\r\nGET / HTTP/1.1"), std::string("\xc3\xa9"), all_bytes}) {
+    CAPTURE(value);
+    const auto [error, response] = fixture.Call({"GET", "/a b?c/%41", {{"q", value}}, ""});
+    REQUIRE_FALSE(error.has_value());
+    CHECK(response.body == "GET /a b?c/%41 " + value + " ");
+  }
+}
+
 // Guards against unbounded buffering of a request.
 TEST_CASE("a body over the limit is refused with 413 and its limit") {
   Fixture fixture({.body_limit = 10});
--- a/test/platform/store_client_test.cc
+++ b/test/platform/store_client_test.cc
@@ -4,6 +4,8 @@
 
 #include <boost/beast/core/detail/base64.hpp>
 #include <future>
+#include <iterator>
+#include <map>
 #include <random>
 
 #include "peridotfork/discovery/store_follower.h"
@@ -140,6 +142,54 @@
   pool.Stop();
 }
 
+// A store that lists `items` in pages of one.
+struct PagedStore final : http::Handler {
+  void Handle(http::Request request, http::Responder respond) override {
+    if (request.path == "/api/kv-watch") {
+      waiting.push_back(std::move(respond));
+      return;
+    }
+    const auto next = items.upper_bound(request.query["after"]);
+    const bool more = next != items.end() && std::next(next) != items.end();
+    respond(http::JsonResponse(Range(next == items.end() ? "" : Item(next->first, next->second),
+                                     more ? "true" : "false")));
+  }
+
+  std::map<std::string, std::string> items;
+  std::vector<http::Responder> waiting;
+};
+
+// Guards against a host that never lists the store because the key at the end of a page can't be
+// sent as it is.
+TEST_CASE("a listing continues after an entry whose key needs percent-encoding") {
+  for (const std::string& key :
+       {std::string("servers/a copy of i-1"), std::string("servers/a+b"), std::string("servers/#"),
+        std::string("servers/a&wait_ms=1"), std::string("servers/100%41"),
+        std::string("servers/\xc3\xa9"), std::string("a/\x7f")}) {
+    CAPTURE(key);
+    WorkerPool pool(1);
+    PagedStore store;
+    store.items = {{key, "AA=="}, {"servers/z", Base64(kTargetText)}};
+    http::Server server(pool.context(), {}, store);
+    REQUIRE(server.Listen(Address("127.0.0.1:0")).has_value());
+    StoreClient client(pool.context(), server.address());
+    const SystemClock clock;
+    Logger log("test", clock);
+    std::promise<std::size_t> listed;
+    StoreFollower follower(pool, clock, client, log, [&](const FleetDirectory& directory) {
+      listed.set_value(directory.targets().size());
+    });
+    follower.Start();
+    std::future<std::size_t> size = listed.get_future();
+    const bool ready = size.wait_for(std::chrono::seconds(2)) == std::future_status::ready;
+    CHECK(ready);
+    CHECK((ready ? size.get() : 0) == 1);
+    follower.Stop();
+    server.Stop();
+    pool.Stop();
+  }
+}
+
 // A store that keeps its connections open and never replies.
 struct SilentStore final : http::Handler {
   void Handle(http::Request, http::Responder respond) override {
