Count the delay before a retry of a call to the store from the call's start

Cause: a call that a silent store has swallowed is given up after 3.9 s, which leaves 0.1 s of the 4 s allowed for reading the changes. Then the follower waited for the retry delay on top, which earlier refusals of the busy store had doubled to 0.8 s.

Change: the delay is the minimum interval between the start of the failed call and the retry. A refused call waits as before; one that was given up after its timeout is retried at once. This holds for each kind of failure and grown delay, since no call that uses up the planned time is followed by a delay. The log line of a failed call says how long it took (call_ms).

Test, failing before (1.90 s, 1.6 s allowed): store_client_test "a store that refuses calls and then is silent is called again within the time allowed".

--- a/include/peridotfork/discovery/store_follower.h
+++ b/include/peridotfork/discovery/store_follower.h
@@ -35,7 +35,8 @@
   std::chrono::milliseconds batch_delay() const {
     return std::chrono::duration_cast<std::chrono::milliseconds>(max_silence * batch_share);
   }
-  // Delay before the retry after a failure; doubled for each consecutive failure.
+  // Minimum interval between the start of a failed call and the retry; doubled for each consecutive
+  // failure. A call that was given up only after its timeout is therefore retried at once.
   std::chrono::milliseconds initial_retry_delay{100};
   std::chrono::milliseconds max_retry_delay{800};
   // The same until the first configuration has arrived.
@@ -71,6 +72,9 @@
   void OnChanges(Result<StoreReply> reply);
   void OnAnswered();
   void OnFailure(const Error& error);
+  // Delay before the next call after `call_time`, the duration of the failed call. Requires the
+  // lock.
+  std::chrono::nanoseconds RetryDelay(std::chrono::nanoseconds call_time) const;
   void LogFaults(const StoreReply& reply);
   // Calls the listener and schedules the deferred removals. Requires the lock.
   void Publish();
@@ -93,6 +97,8 @@
   // When the first failure since the last successful reply occurred; none while the store answers.
   std::optional<BootTime> failing_since_;
   std::uint32_t consecutive_failures_ = 0;
+  // When the call in progress was started.
+  BootTime call_start_;
   std::optional<StoreRevision> revision_;
   // State of a listing in progress.
   std::optional<StoreRevision> listing_revision_;
--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -10,6 +10,10 @@
 constexpr std::chrono::milliseconds kMinOutage{500};
 constexpr std::uint32_t kMaxDoublings = 5;
 
+std::string Milliseconds(std::chrono::nanoseconds time) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
 }  // namespace
 
 StoreFollower::StoreFollower(WorkerPool& pool,
@@ -38,6 +42,7 @@
   std::string page;
   {
     const RankedLock lock(mutex_);
+    call_start_ = clock_.now();
     page = next_page_;
   }
   store_.List(page, [this](Result<StoreReply> reply) { OnPage(std::move(reply)); });
@@ -84,6 +89,7 @@
   StoreRevision after;
   {
     const RankedLock lock(mutex_);
+    call_start_ = clock_.now();
     after = revision_.value_or(StoreRevision(0));
   }
   store_.Watch(after, options_.watch_duration(),
@@ -126,8 +132,7 @@
     return;
   }
   const auto outage = clock_.now() - *std::exchange(failing_since_, std::nullopt);
-  const auto away_ms = std::chrono::duration_cast<std::chrono::milliseconds>(outage);
-  log_.Info("The store answers again.", {{"away_ms", std::to_string(away_ms.count())}});
+  log_.Info("The store answers again.", {{"away_ms", Milliseconds(outage)}});
   if (outage >= kMinOutage) {
     directory_.OnStoreReturned();
   }
@@ -137,19 +142,17 @@
   ++failures_;
   const bool history_gone = error.kind() == ErrorKind::kStaleRevision;
   bool list = false;
-  std::chrono::milliseconds pause = options_.initial_retry_delay;
+  std::chrono::nanoseconds call_time{0};
+  std::chrono::nanoseconds delay{0};
   {
     const RankedLock lock(mutex_);
+    call_time = clock_.now() - call_start_;
     if (history_gone) {
       revision_.reset();
     } else if (!failing_since_) {
       failing_since_ = clock_.now();
     }
-    // A host without a configuration can't serve at all.
-    const bool is_urgent = directory_.catalogue() == nullptr;
-    pause = std::min(
-        is_urgent ? options_.max_first_retry_delay : options_.max_retry_delay,
-        options_.initial_retry_delay * (1 << std::min(consecutive_failures_, kMaxDoublings)));
+    delay = RetryDelay(call_time);
     ++consecutive_failures_;
     list = !revision_;
     if (list) {
@@ -158,13 +161,14 @@
       next_page_.clear();
     }
   }
-  log_.Warning("A call to the store failed.",
-               {{"error", ToString(error)}, {"retry_in_ms", std::to_string(pause.count())}});
+  log_.Warning("A call to the store failed.", {{"error", ToString(error)},
+                                               {"call_ms", Milliseconds(call_time)},
+                                               {"retry_in_ms", Milliseconds(delay)}});
   if (history_gone) {
     ListPage();
     return;
   }
-  pool_.After(pause, [this, list] {
+  pool_.After(delay, [this, list] {
     if (list) {
       ListPage();
     } else {
@@ -173,6 +177,15 @@
   });
 }
 
+std::chrono::nanoseconds StoreFollower::RetryDelay(std::chrono::nanoseconds call_time) const {
+  // A host without a configuration can't serve at all.
+  const bool is_urgent = directory_.catalogue() == nullptr;
+  const std::chrono::nanoseconds interval = std::min(
+      is_urgent ? options_.max_first_retry_delay : options_.max_retry_delay,
+      options_.initial_retry_delay * (1 << std::min(consecutive_failures_, kMaxDoublings)));
+  return std::max(interval - call_time, std::chrono::nanoseconds(0));
+}
+
 void StoreFollower::LogFaults(const StoreReply& reply) {
   refused_values_ += reply.faults.size();
   for (const Error& fault : reply.faults) {
--- a/test/platform/store_client_test.cc
+++ b/test/platform/store_client_test.cc
@@ -225,6 +225,57 @@
   pool.Stop();
 }
 
+// A store that refuses `refusals` watches, does not reply to the next one, and then replies again.
+struct RecoveringStore final : http::Handler {
+  void Handle(http::Request request, http::Responder respond) override {
+    if (request.path == "/api/kv-range") {
+      respond(http::JsonResponse(Range(Item("op/config", Base64(kConfigurationText)))));
+      return;
+    }
+    const int watch = watches++;
+    if (watch < refusals) {
+      http::Response refusal;
+      refusal.status = 503;
+      respond(std::move(refusal));
+    } else if (watch == refusals) {
+      unanswered.push_back(std::move(respond));
+      silent_since = std::chrono::steady_clock::now();
+    } else if (watch == refusals + 1) {
+      called_again.set_value(std::chrono::steady_clock::now());
+    }
+  }
+
+  int refusals = 0;
+  int watches = 0;
+  std::vector<http::Responder> unanswered;
+  std::chrono::steady_clock::time_point silent_since;
+  std::promise<std::chrono::steady_clock::time_point> called_again;
+};
+
+// Guards against a host that stays at an old configuration for too long because the delay before a
+// retry has grown when the silence of the store is noticed.
+TEST_CASE("a store that refuses calls and then is silent is called again within the time allowed") {
+  FollowerOptions options;
+  options.max_silence = std::chrono::milliseconds(1600);
+  options.catch_up = std::chrono::milliseconds(500);
+  WorkerPool pool(1);
+  RecoveringStore store;
+  store.refusals = 4;
+  http::Server server(pool.context(), {}, store);
+  REQUIRE(server.Listen(Address("127.0.0.1:0")).has_value());
+  StoreClient client(pool.context(), server.address());
+  const SystemClock clock;
+  Logger log("test", clock);
+  StoreFollower follower(
+      pool, clock, client, log, [](const FleetDirectory&) {}, options);
+  follower.Start();
+  const auto called_again = store.called_again.get_future().get();
+  CHECK(called_again - store.silent_since < options.max_silence);
+  follower.Stop();
+  server.Stop();
+  pool.Stop();
+}
+
 TEST_CASE("a store that can't be reached is a transport fault") {
   WorkerPool pool(1);
   StoreClient client(pool.context(), Address("127.0.0.1:1"));
