Test that an answer whose head breaks off is never taken for a whole one

Cause: other operators reported that a target stopped in the middle of its answer's head and closed, and that callers got a 200 with an empty or short body, framed as whole.

Found: this can't happen here. Connection::OnEof tells the parser of the end, which accepts it only after a complete head and only for a body that ends with its connection; everything else counts as lost.

Change: tests only. connection_test cuts five kinds of head at every byte, by a close and by a reset, alone, after an informational response and after a late answer to another request. gateway_test looks at what callers get: 502 for a request that may not be repeated, a missing part of a gathered answer.

--- a/test/gateway/gateway_test.cc
+++ b/test/gateway/gateway_test.cc
@@ -774,6 +774,33 @@
   }
 }
 
+// Guards against a part of a head that is forwarded as a whole answer with an empty or short body.
+TEST_CASE("an answer that breaks off in its head is no success and no part of a gathered answer") {
+  const std::string head =
+      "\r\nResponse-Stamp: s\r\nContent-Type: text/plain\r\nContent-Length: 16\r\n\r\n";
+  for (std::size_t cut = 0; cut < head.size(); cut += 3) {
+    CAPTURE(head.substr(0, cut));
+    const auto broken = [&head, cut](const std::string& header) -> TargetAction {
+      return {
+          "HTTP/1.1 200 OK\r\nRequest-Id: " + FieldOf(header, "Request-Id") + head.substr(0, cut),
+          milliseconds(0), After::kClose};
+    };
+    Fixture fixture;
+    fixture.AddTarget("one", broken);
+    fixture.AddTarget("shard-0", ShardAnswer("p0", Record('a')));
+    fixture.AddTarget("shard-1", ShardAnswer("p1", Record('b')));
+    fixture.AddTarget("shard-2", broken);
+    fixture.Publish({SingleRoute(Repeatability::kAtMostOnce), GatherRoute(3, 0.6)});
+    const Response single = fixture.MakeCaller().Get("single.example", "/one/1", "a");
+    CHECK(single.result_int() == 502);
+    CHECK(single.find("Response-Stamp") == single.end());
+    const Response gathered = fixture.MakeCaller().Get("gather.example", "/all/1", "b");
+    CHECK(gathered.result_int() == 200);
+    CHECK(gathered["Part-Stamps"] == "p0, p1");
+    CHECK(gathered["Missing-Parts"] == "1");
+  }
+}
+
 // A target that the store no longer lists may only have been slow to report.
 TEST_CASE(
     "a request in progress on a target that leaves the store is neither repeated nor given up") {
--- a/test/upstream/connection_test.cc
+++ b/test/upstream/connection_test.cc
@@ -125,6 +125,31 @@
   CHECK(unframed.Run("a").state == ExchangeState::kLost);
 }
 
+// Guards against a part of a head that is taken for a whole answer with an empty or short body.
+TEST_CASE("an answer whose head is cut short at any byte counts as lost") {
+  const std::string heads[] = {
+      "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nResponse-Stamp: s\r\nContent-Length: 100\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nResponse-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nResponse-Stamp: s\r\nConnection: close\r\n\r\n",
+      "HTTP/1.0 200 OK\r\nRequest-Id: a\r\nResponse-Stamp: s\r\n\r\n",
+      "HTTP/1.1 204 No Content\r\nRequest-Id: a\r\nResponse-Stamp: s\r\n\r\n",
+  };
+  const std::string earlier[] = {"", "HTTP/1.1 103 Early\r\nX: y\r\n\r\n", Answer("z", "late")};
+  for (const std::string& head : heads) {
+    for (const std::string& first : earlier) {
+      std::size_t cut = 0;
+      Fixture fixture([&](const std::string&) -> TargetAction {
+        return {first + head.substr(0, cut), milliseconds(0),
+                cut % 2 == 0 ? After::kClose : After::kReset};
+      });
+      for (; cut < head.size(); ++cut) {
+        CAPTURE(head.substr(0, cut));
+        CHECK(fixture.Run("a").state == ExchangeState::kLost);
+      }
+    }
+  }
+}
+
 TEST_CASE("an exchange whose answer is not HTTP counts as lost") {
   Fixture fixture([](const std::string&) -> TargetAction {
     return {"\x01\x02 this is no answer\r\n\r\n", milliseconds(0), After::kKeep};
