Take only requests during a graceful shutdown that end before the process does

Callers could see (reported by other operators, looked for here): a request that came late in a planned stop was passed on to a target and cut without an answer at the end of the stop, also one that may not be repeated; the same for requests that take longer than the stop.

Cause: only the main thread knew when the process ends; sessions and requests went on as if it did not. Evidence: the two new tests on the code as it was. A request that may not be repeated was run in the last second of a stop of 1.6 s (200 where 503 is due), and requests of 5 s were still without an answer 0.65 s after the end of a stop of 1.5 s.

Change: Gateway::BeginDrain sets a time for the final answers, 0.3 s before the end. A request that arrives later than lets it finish by then gets 503 at once: one that may not be repeated counts with its deadline, one that may with the objective of its route. What still runs at that time is answered as at its deadline. A short stop accepts connections for half of its length. This works since each request is then either refused before it is sent or answered before the process ends. Route::idempotent() replaces the same condition in the request runner.

Tests, failing before: gateway_test "a graceful shutdown refuses a request that may not end before the process does", "a graceful shutdown answers the requests that still run before it ends". The two older tests of shutdowns pass unchanged; their settings now name a timeout of 6 s, which was left at 0.

--- a/include/peridotfork/catalogue/catalogue.h
+++ b/include/peridotfork/catalogue/catalogue.h
@@ -56,6 +56,8 @@
   // Empty if `gather` is set.
   std::vector<WeightedService> services;
   std::optional<GatherSpec> gather;
+
+  bool idempotent() const { return gather || repeatability == Repeatability::kIdempotent; }
 };
 
 struct ServiceSpec {
--- a/include/peridotfork/gateway/caller_session.h
+++ b/include/peridotfork/gateway/caller_session.h
@@ -58,6 +58,9 @@
   // Closes the connection if no request is in progress.
   void CloseIfIdle();
 
+  // Answers the request that is running, if any, because the process is about to end.
+  void AnswerNow();
+
   bool busy() const { return busy_; }
 
  private:
--- a/include/peridotfork/gateway/gateway.h
+++ b/include/peridotfork/gateway/gateway.h
@@ -85,7 +85,12 @@
   void OnPeerMessage(const protocol::Envelope& envelope);
   void OnTargetLoss(const protocol::Envelope& envelope, const protocol::TargetLossNotice& notice);
   void Publish(const protocol::TargetLossNotice& notice);
+  // Whether the request may be run although a graceful shutdown is in progress: it ends before the
+  // process does, or it may be repeated elsewhere and will most likely end before.
+  bool CanFinishBeforeStop(const RoutedRequest& request) const;
+  std::set<CallerSessionPtr> Sessions() const;
   void CloseIdleSessions();
+  void AnswerRemaining();
   bool ready() const;
 
   const DaemonContext context_;
@@ -104,6 +109,8 @@
   Tcp::acceptor acceptor_;
   BootTime started_;
   std::atomic<bool> draining_ = false;
+  // When requests that still run are answered during a graceful shutdown.
+  std::atomic<BootTime> final_answers_at_{BootTime::max()};
   std::atomic<bool> accepting_ = false;
   std::atomic<std::size_t> in_flight_ = 0;
   std::atomic<std::size_t> max_in_flight_;
--- a/include/peridotfork/gateway/request_runner.h
+++ b/include/peridotfork/gateway/request_runner.h
@@ -68,6 +68,9 @@
   // Handles the caller closing its connection: cancels the attempts of an idempotent request.
   void OnCallerDisconnected();
 
+  // Answers now, as at the end of the request's time, because the process is about to end.
+  void OnShutdown();
+
  private:
   struct ActiveAttempt {
     AttemptPtr attempt;
--- a/src/gateway/caller_session.cc
+++ b/src/gateway/caller_session.cc
@@ -56,6 +56,14 @@
   });
 }
 
+void CallerSession::AnswerNow() {
+  asio::dispatch(stream_.get_executor(), [self = Self()] {
+    if (self->runner_ != nullptr) {
+      self->runner_->OnShutdown();
+    }
+  });
+}
+
 void CallerSession::WaitForRequest() {
   busy_ = false;
   const IngressLimits limits = sink_.limits();
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -14,9 +14,17 @@
 // How long new connections are accepted after a graceful shutdown began: the load balancer
 // checks readiness once a second and acts on the second failure.
 constexpr std::chrono::milliseconds kDrainAcceptPeriod{2800};
-// How long after the shutdown began idle connections are first closed. Responses sent until then
-// have announced the close.
-constexpr std::chrono::milliseconds kFirstCloseIdleDelay{3000};
+// Delay after the end of that period until idle connections are first closed. Responses sent until
+// then have announced the close.
+constexpr std::chrono::milliseconds kFirstCloseIdleDelay{200};
+// Upper limit for the period in which connections are accepted, as a share of the shutdown.
+constexpr double kMaxDrainAcceptShare = 0.5;
+// Requests that still run this long before the end of the shutdown are answered then, so that the
+// answers are sent before the process ends.
+constexpr std::chrono::milliseconds kFinalAnswerMargin{300};
+// Retry-After of a request that can't finish before the end of the shutdown: another host can run
+// it at once.
+constexpr std::chrono::milliseconds kRetryAfterDraining{10};
 // Interval at which connections that have become idle since are closed.
 constexpr std::chrono::milliseconds kCloseIdleInterval{500};
 // Delay before connecting to peers, so that callers are served first.
@@ -173,23 +181,41 @@
 }
 
 void Gateway::BeginDrain() {
+  const std::chrono::milliseconds timeout = settings_.drain_timeout;
+  const auto accept_period = std::min(
+      kDrainAcceptPeriod,
+      std::chrono::duration_cast<std::chrono::milliseconds>(timeout * kMaxDrainAcceptShare));
+  const auto final_answers = std::max(timeout - kFinalAnswerMargin, accept_period);
+  final_answers_at_ = context_.clock.now() + final_answers;
   draining_ = true;
-  context_.pool.After(kDrainAcceptPeriod, [this] {
+  context_.pool.After(accept_period, [this] {
     asio::dispatch(acceptor_.get_executor(), [this] {
       accepting_ = false;
       boost::system::error_code ignored;
       acceptor_.close(ignored);
     });
   });
-  context_.pool.After(kFirstCloseIdleDelay, [this] { CloseIdleSessions(); });
+  context_.pool.After(accept_period + kFirstCloseIdleDelay, [this] { CloseIdleSessions(); });
+  context_.pool.After(final_answers, [this] { AnswerRemaining(); });
 }
 
-void Gateway::CloseIdleSessions() {
-  std::set<CallerSessionPtr> sessions;
-  {
-    const RankedLock lock(sessions_mutex_);
-    sessions = sessions_;
+std::set<CallerSessionPtr> Gateway::Sessions() const {
+  const RankedLock lock(sessions_mutex_);
+  return sessions_;
+}
+
+void Gateway::AnswerRemaining() {
+  if (in_flight_ > 0) {
+    context_.log.Warning("Requests that still run are answered before the process ends.",
+                         {{"requests", std::to_string(in_flight_)}});
   }
+  for (const CallerSessionPtr& session : Sessions()) {
+    session->AnswerNow();
+  }
+}
+
+void Gateway::CloseIdleSessions() {
+  const std::set<CallerSessionPtr> sessions = Sessions();
   if (sessions.empty()) {
     return;
   }
@@ -249,6 +275,13 @@
         404, MakeError(ErrorKind::kUnknownName, "route", routed.ingress.host + routed.ingress.path),
         std::nullopt);
   }
+  routed.start = start;
+  if (draining_ && !CanFinishBeforeStop(routed)) {
+    return refuse(503,
+                  MakeError(ErrorKind::kDraining, "gateway",
+                            "the request may not end before the process does"),
+                  kRetryAfterDraining);
+  }
   if (const auto wait = QuarantineRemaining(request); wait > std::chrono::nanoseconds(0)) {
     return refuse(503,
                   MakeError(ErrorKind::kQuarantined, "gateway",
@@ -267,12 +300,19 @@
                   wait);
   }
   routed.message = std::move(request);
-  routed.start = start;
   ++in_flight_;
   return RequestRunnerPtr(new RequestRunner(runner_context_, std::move(routed), std::move(done),
                                             [this] { --in_flight_; }));
 }
 
+bool Gateway::CanFinishBeforeStop(const RoutedRequest& request) const {
+  const Route& route = *request.route;
+  const auto caller_timeout = request.ingress.caller_timeout.value_or(route.timeout);
+  const BootTime deadline = request.start + std::min(caller_timeout, route.timeout);
+  const BootTime likely_end = std::min(context_.clock.now() + route.objective, deadline);
+  return (route.idempotent() ? likely_end : deadline) <= final_answers_at_.load();
+}
+
 std::chrono::milliseconds Gateway::RetryAfterNoCatalogue(const IngressRequest& request) const {
   if (context_.clock.now() - started_ < kFirstListing) {
     return kRetryAfterStart;
--- a/src/gateway/request_runner.cc
+++ b/src/gateway/request_runner.cc
@@ -61,7 +61,7 @@
   FanOutPlan plan;
   plan.shards = request.services.size();
   plan.max_attempts = route.max_attempts;
-  plan.idempotent = route.gather || route.repeatability == Repeatability::kIdempotent;
+  plan.idempotent = route.idempotent();
   plan.required_coverage = route.gather ? route.gather->required_coverage : 1;
   plan.hedge_delay = targets.HedgeDelay(route);
   plan.partial_answer_at = request.start + route.objective - kCallerTransit;
@@ -121,6 +121,13 @@
   on_end_();
 }
 
+void RequestRunner::OnShutdown() {
+  const RankedLock lock(mutex_);
+  if (!concluded_) {
+    Conclude(*fan_out_.Outcome(fan_out_.plan().answer_deadline));
+  }
+}
+
 void RequestRunner::Advance() {
   if (concluded_) {
     return;
--- a/test/gateway/gateway_test.cc
+++ b/test/gateway/gateway_test.cc
@@ -112,6 +112,7 @@
   settings.store_address = Address("127.0.0.1:1");
   settings.worker_threads = 2;
   settings.max_in_flight = 100;
+  settings.drain_timeout = std::chrono::seconds(6);
   return settings;
 }
 
@@ -169,11 +170,11 @@
 
 class Fixture {
  public:
-  Fixture() {
+  explicit Fixture(const GatewaySettings& settings = Settings()) {
     auto push_store = std::make_unique<PushStore>(pool);
     store = push_store.get();
     gateway.emplace(
-        DaemonContext{pool, clock, log, Incarnation(1)}, Settings(),
+        DaemonContext{pool, clock, log, Incarnation(1)}, settings,
         GatewayAdapters{std::move(push_store), std::make_unique<platform::PlatformCodec>()});
     REQUIRE(gateway->Start().has_value());
   }
@@ -716,6 +717,68 @@
   CHECK(idle.Receive().result_int() == 0);
 }
 
+GatewaySettings SettingsWithDrain(milliseconds timeout) {
+  GatewaySettings settings = Settings();
+  settings.drain_timeout = timeout;
+  return settings;
+}
+
+std::string RawRequest(const std::string& path, const std::string& timeout_ms) {
+  return "GET " + path +
+         " HTTP/1.1\r\nHost: single.example\r\nRequest-Id: a\r\nTimeout-Ms: " + timeout_ms + "\r\n";
+}
+
+// Guards against requests that a planned stop cuts off because they arrived late in it.
+TEST_CASE("a graceful shutdown refuses a request that may not end before the process does") {
+  Route once = SingleRoute(Repeatability::kAtMostOnce);
+  Route repeatable = SingleRoute(Repeatability::kIdempotent);
+  repeatable.prefix = "/two/";
+  Fixture fixture(SettingsWithDrain(milliseconds(1600)));
+  ScriptedTarget& target = fixture.AddTarget("one", Answering("notes", milliseconds(100)));
+  fixture.Publish({once, repeatable});
+  Caller late_once = fixture.MakeCaller();
+  Caller late_repeatable = fixture.MakeCaller();
+  std::this_thread::sleep_for(milliseconds(50));
+  fixture.gateway->BeginDrain();
+  CHECK(fixture.MakeCaller().Get("single.example", "/one/1", "b").result_int() == 200);
+  CHECK(target.requests() == 1);
+  std::this_thread::sleep_for(milliseconds(500));
+  late_once.SendRaw(RawRequest("/one/1", "900") + "\r\n");
+  const Response refused = late_once.Receive();
+  CHECK(refused.result_int() == 503);
+  CHECK_FALSE(refused["Retry-After"].empty());
+  CHECK_FALSE(refused.keep_alive());
+  CHECK(target.requests() == 1);
+  late_repeatable.SendRaw(RawRequest("/two/1", "900") + "\r\n");
+  CHECK(late_repeatable.Receive().result_int() == 200);
+  CHECK(target.requests() == 2);
+}
+
+// Guards against requests that end without an answer because the process does.
+TEST_CASE("a graceful shutdown answers the requests that still run before it ends") {
+  constexpr milliseconds kDrain{1500};
+  for (const Repeatability kind : {Repeatability::kIdempotent, Repeatability::kAtMostOnce}) {
+    Fixture fixture(SettingsWithDrain(kDrain));
+    fixture.AddTarget("one", Answering("notes", milliseconds(2200)));
+    Route route = SingleRoute(kind);
+    route.timeout = milliseconds(5000);
+    fixture.Publish({route});
+    Caller caller = fixture.MakeCaller();
+    caller.SendRaw(RawRequest("/one/1", "5000") + "\r\n");
+    std::this_thread::sleep_for(milliseconds(50));
+    const auto begin = std::chrono::steady_clock::now();
+    fixture.gateway->BeginDrain();
+    const Response response = caller.Receive();
+    CHECK(response.result_int() == 504);
+    CHECK_FALSE(response.keep_alive());
+    CHECK(std::chrono::steady_clock::now() - begin < kDrain);
+    while (!fixture.gateway->drained() && std::chrono::steady_clock::now() - begin < kDrain) {
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+    CHECK(fixture.gateway->drained());
+  }
+}
+
 // Guards against requests that are cut off because they were accepted just after the stop began.
 TEST_CASE("a graceful shutdown under load answers each request that it has accepted") {
   Fixture fixture;
