Read a reply of the store with a key that is not text

Cause: a JSON parser refuses invalid UTF-8 and lone surrogates, and the reply was given up with the one string. Evidence: DecodeRange and DecodeEvents refuse a reply with one odd and one sound entry as "invalid JSON".

Change: a reply that can't be parsed is repaired and parsed again. Odd bytes become characters for private use, so that the key that begins the next page is sent with its own bytes; the entry is odd, the others hold. A listing whose pages do not advance counts as failed, with the delay of a failure: such a store would have been called without end.

Tests, failing before: store_client_test "a key or a value that is not text does not affect the other entries of a reply" and two new keys in "a listing continues after an entry whose key needs percent-encoding"; store_follower_test "a listing whose pages do not advance counts as failed".

--- a/include/peridotfork/discovery/store_follower.h
+++ b/include/peridotfork/discovery/store_follower.h
@@ -68,6 +68,8 @@
  private:
   void ListPage();
   void OnPage(Result<StoreReply> reply);
+  // Whether the page would be followed by itself, so that the listing would never end.
+  bool BeginsNextPageAgain(const StoreReply& reply);
   void WatchNext();
   void OnChanges(Result<StoreReply> reply);
   void OnAnswered();
--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -48,7 +48,15 @@
   store_.List(page, [this](Result<StoreReply> reply) { OnPage(std::move(reply)); });
 }
 
+bool StoreFollower::BeginsNextPageAgain(const StoreReply& reply) {
+  const RankedLock lock(mutex_);
+  return !reply.next_page.empty() && reply.next_page == next_page_;
+}
+
 void StoreFollower::OnPage(Result<StoreReply> result) {
+  if (result.has_value() && BeginsNextPageAgain(result.value())) {
+    result = MakeError(ErrorKind::kMalformed, "store", "the pages of a listing do not advance");
+  }
   if (!result.has_value()) {
     OnFailure(result.error());
     return;
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "peridotfork/internal/platform/json_reader.h"
+#include "peridotfork/internal/platform/text_repair.h"
 #include "peridotfork/platform/catalogue_codec.h"
 
 namespace peridotfork::platform {
@@ -95,8 +96,17 @@
   }
 }
 
+// Parses a reply. A key that is not text, of another user of the store, must not hide the rest.
+json ParseReply(const std::string& body) {
+  json document = json::parse(body, nullptr, /*allow_exceptions=*/false);
+  if (document.is_discarded()) {
+    document = json::parse(RepairJsonText(body), nullptr, /*allow_exceptions=*/false);
+  }
+  return document;
+}
+
 Result<StoreReply> DecodeItems(const std::string& body, const char* list) {
-  const json document = json::parse(body, nullptr, /*allow_exceptions=*/false);
+  const json document = ParseReply(body);
   if (document.is_discarded()) {
     return MakeError(ErrorKind::kMalformed, "store reply", "invalid JSON");
   }
@@ -112,7 +122,7 @@
   }
   const auto more = document.find("has_more");
   if (more != document.end() && more->is_boolean() && more->get<bool>() && !items.empty()) {
-    reply.next_page = JsonReader(items.back(), "item").String("key");
+    reply.next_page = OriginalBytes(JsonReader(items.back(), "item").String("key"));
   }
   return reply;
 }
--- a/test/discovery/store_follower_test.cc
+++ b/test/discovery/store_follower_test.cc
@@ -141,5 +141,19 @@
   CHECK(fixture.sizes == std::vector<std::size_t>{1});
 }
 
+// Guards against a listing that calls the store without end and without a delay.
+TEST_CASE("a listing whose pages do not advance counts as failed") {
+  Fixture fixture;
+  StoreReply page = Reply(10, {Target("a")});
+  page.next_page = "servers/a";
+  fixture.store.Add(page);
+  fixture.store.Add(page);
+  fixture.store.Add(Reply(20, {Target("b")}));
+  const auto calls = fixture.Run(4);
+  CHECK(calls == std::vector<std::string>{"list ", "list servers/a", "list ", "watch 20"});
+  CHECK(fixture.follower.failures() == 1);
+  CHECK(fixture.sizes == std::vector<std::size_t>{1});
+}
+
 }  // namespace
 }  // namespace peridotfork
--- a/test/platform/store_client_test.cc
+++ b/test/platform/store_client_test.cc
@@ -81,6 +81,23 @@
   }
 }
 
+// Guards against a host that can't read a reply of the store because of one entry in it.
+TEST_CASE("a key or a value that is not text does not affect the other entries of a reply") {
+  const std::string good = Item("servers/i-1", Base64(kTargetText));
+  for (const std::string& odd : {Item("servers/\xff", "AA=="), Item(R"(servers/\udcff)", "AA=="),
+                                 Item("other/\xc3", "AA=="), Item(R"(servers/\ud800x)", "AA=="),
+                                 Item("servers/i-0", "\xfe"), Item("servers/i-0", R"(\udfff)")}) {
+    CAPTURE(odd);
+    for (const auto& reply :
+         {DecodeRange(Range(odd + "," + good)),
+          DecodeEvents(R"({"events":[)" + odd + "," + good + R"(],"current_rev":7})")}) {
+      REQUIRE(reply.has_value());
+      REQUIRE_FALSE(reply.value().changes.empty());
+      CHECK(std::get<TargetReported>(reply.value().changes.back()).entry.id == TargetId("i-1"));
+    }
+  }
+}
+
 TEST_CASE("mutated replies are decoded or refused without a crash") {
   const std::string good =
       Range(Item("servers/i-1", Base64(kTargetText)) + "," + Item("op/evacuate/a", "e30="));
@@ -165,7 +182,8 @@
   for (const std::string& key :
        {std::string("servers/a copy of i-1"), std::string("servers/a+b"), std::string("servers/#"),
         std::string("servers/a&wait_ms=1"), std::string("servers/100%41"),
-        std::string("servers/\xc3\xa9"), std::string("a/\x7f")}) {
+        std::string("servers/\xc3\xa9"), std::string("a/\x7f"), std::string("servers/a\xff"),
+        std::string("servers/\xff")}) {
     CAPTURE(key);
     WorkerPool pool(1);
     PagedStore store;
