--- a/include/peridotfork/gateway/gateway.h
+++ b/include/peridotfork/gateway/gateway.h
@@ -85,11 +85,12 @@
   void OnPeerMessage(const protocol::Envelope& envelope);
   void OnTargetLoss(const protocol::Envelope& envelope, const protocol::TargetLossNotice& notice);
   void Publish(const protocol::TargetLossNotice& notice);
-  // Whether the request may be run although a graceful shutdown is in progress: it ends before the
-  // process does, or it may be repeated elsewhere and will most likely end before.
+  // False if a graceful shutdown may end the process before the request: at its deadline, or, for
+  // an idempotent request, at the objective of its route.
   bool CanFinishBeforeStop(const RoutedRequest& request) const;
   std::set<CallerSessionPtr> Sessions() const;
   void CloseIdleSessions();
+  // Answers the requests that still run at the end of a graceful shutdown.
   void AnswerRemaining();
   bool ready() const;
 
@@ -109,7 +110,7 @@
   Tcp::acceptor acceptor_;
   BootTime started_;
   std::atomic<bool> draining_ = false;
-  // When requests that still run are answered during a graceful shutdown.
+  // When a graceful shutdown answers the requests that still run; the maximum if there is none.
   std::atomic<BootTime> final_answers_at_{BootTime::max()};
   std::atomic<bool> accepting_ = false;
   std::atomic<std::size_t> in_flight_ = 0;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -276,7 +276,7 @@
         std::nullopt);
   }
   routed.start = start;
-  if (draining_ && !CanFinishBeforeStop(routed)) {
+  if (!CanFinishBeforeStop(routed)) {
     return refuse(503,
                   MakeError(ErrorKind::kDraining, "gateway",
                             "the request may not end before the process does"),
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -96,7 +96,7 @@
   }
 }
 
-// Parses a reply. A key that is not text, of another user of the store, must not hide the rest.
+// Parses a reply, also if a key or a value of another user of the store is not valid text.
 json ParseReply(const std::string& body) {
   json document = json::parse(body, nullptr, /*allow_exceptions=*/false);
   if (document.is_discarded()) {
--- a/src/platform/text_repair.cc
+++ b/src/platform/text_repair.cc
@@ -17,22 +17,24 @@
 // Length of an escape such as "\u00e9".
 constexpr std::size_t kEscapeLength = 6;
 
+// Lowest code point of a UTF-8 sequence of each length.
+constexpr std::uint32_t kMinOfLength[] = {0, 0, 0x80, 0x800, 0x10000};
+constexpr std::uint32_t kMaxCodePoint = 0x10FFFF;
+
 bool IsContinuation(char byte) {
   return (static_cast<unsigned char>(byte) & 0xC0U) == 0x80U;
 }
 
-// Lowest code points of sequences of two, three and four bytes, and the limits of Unicode.
-constexpr std::uint32_t kMinOfLength[] = {0, 0, 0x80, 0x800, 0x10000};
-constexpr std::uint32_t kMaxCodePoint = 0x10FFFF;
-
 bool IsSurrogate(std::uint32_t code) {
   return code >= 0xD800 && code <= 0xDFFF;
 }
 
+// Continuation byte of the six bits of `code` from `shift` on.
 char Continuation(std::uint32_t code, unsigned shift) {
   return static_cast<char>(0x80U | (code >> shift & 0x3FU));
 }
 
+// Appends the character that stands for `byte`.
 void AppendReplacement(std::uint32_t byte, std::string& text) {
   const std::uint32_t code = kFirstReplacement + (byte & 0xFFU);
   text += static_cast<char>(0xF0U | code >> 18U);
