--- a/test/discovery/store_follower_test.cc
+++ b/test/discovery/store_follower_test.cc
@@ -72,6 +72,8 @@
                                        .max_retry_delay = milliseconds(4)};
 
 struct Fixture {
+  explicit Fixture(FollowerOptions options = kFastOptions) : options(options) {}
+
   std::vector<std::string> Run(std::size_t calls) {
     follower.Start();
     std::vector<std::string> calls_made = store.WaitForCalls(calls);
@@ -80,6 +82,7 @@
     return calls_made;
   }
 
+  const FollowerOptions options;
   SystemClock clock;
   Logger log{"test", clock};
   WorkerPool pool{1};
@@ -91,7 +94,7 @@
       store,
       log,
       [this](const FleetDirectory& directory) { sizes.push_back(directory.targets().size()); },
-      kFastOptions};
+      options};
 };
 
 TEST_CASE("a watch goes on from the revision of the first page of a listing") {
@@ -129,6 +132,21 @@
   CHECK(fixture.follower.failures() == 3);
 }
 
+// Guards against a store that is overloaded by the retries of all hosts.
+TEST_CASE("refused calls are retried with a growing delay") {
+  Fixture fixture({.initial_retry_delay = milliseconds(20),
+                   .max_retry_delay = milliseconds(80),
+                   .max_first_retry_delay = milliseconds(80)});
+  fixture.store.Add(Reply(10));
+  for (int i = 0; i < 4; ++i) {
+    fixture.store.Add(MakeError(ErrorKind::kUnavailable));
+  }
+  const auto begin = std::chrono::steady_clock::now();
+  fixture.Run(6);
+  // 20, 40, 80 and 80 ms between the starts of the calls.
+  CHECK(std::chrono::steady_clock::now() - begin >= milliseconds(220));
+}
+
 TEST_CASE("a listing that fails midway restarts from the first page") {
   Fixture fixture;
   StoreReply first = Reply(10, {Target("a")});
