--- a/test/platform/store_client_test.cc
+++ b/test/platform/store_client_test.cc
@@ -88,9 +88,11 @@
                                  Item("other/\xc3", "AA=="), Item(R"(servers/\ud800x)", "AA=="),
                                  Item("servers/i-0", "\xfe"), Item("servers/i-0", R"(\udfff)")}) {
     CAPTURE(odd);
-    for (const auto& reply :
-         {DecodeRange(Range(odd + "," + good)),
-          DecodeEvents(R"({"events":[)" + odd + "," + good + R"(],"current_rev":7})")}) {
+    std::string both = odd;
+    both.append(",").append(good);
+    std::string events = R"({"events":[)";
+    events.append(both).append(R"(],"current_rev":7})");
+    for (const auto& reply : {DecodeRange(Range(both)), DecodeEvents(events)}) {
       REQUIRE(reply.has_value());
       REQUIRE_FALSE(reply.value().changes.empty());
       CHECK(std::get<TargetReported>(reply.value().changes.back()).entry.id == TargetId("i-1"));
