Identify tenants by their keys, and refuse keys that the store has not confirmed lately

Cause: a configuration with tenants was read without them, so that keys reached targets and unknown keys were served.

--- a/include/peridotfork/catalogue/catalogue.h
+++ b/include/peridotfork/catalogue/catalogue.h
@@ -14,6 +14,8 @@
 
 #include "peridotfork/core/ids.h"
 #include "peridotfork/core/units.h"
+#include "peridotfork/tenants/api_key_table.h"
+#include "peridotfork/tenants/tenant_id.h"
 
 namespace peridotfork {
 
@@ -53,6 +55,8 @@
   std::uint32_t max_attempts = 1;
   // 0 is the most urgent.
   std::uint32_t priority = 0;
+  // Requests need no API key even if the configuration has tenants.
+  bool is_public = false;
   // Empty if `gather` is set.
   std::vector<WeightedService> services;
   std::optional<GatherSpec> gather;
@@ -68,6 +72,22 @@
   Rate cold_rate{0};
 };
 
+// A customer of the deployment whose requests carry one of its API keys.
+struct Tenant {
+  TenantId id;
+  // Takes precedence over the priority of the route; none if the tenant has no priority.
+  std::optional<std::uint32_t> priority;
+  // Limit on the requests of the tenant on all hosts together; a rate of 0 means no limit.
+  Rate quota_rate{0};
+  double quota_burst = 0;
+};
+
+// A tenant as it is published, with its API keys.
+struct TenantSpec {
+  Tenant tenant;
+  std::vector<std::string> api_keys;
+};
+
 // Limits on what callers may send to the ingress.
 struct IngressLimits {
   Bytes max_header{16384};
@@ -82,13 +102,25 @@
   Catalogue(Revision version,
             std::vector<Route> routes,
             std::vector<ServiceSpec> services,
-            IngressLimits limits);
+            IngressLimits limits,
+            std::optional<std::vector<TenantSpec>> tenants = std::nullopt);
 
   Revision version() const { return version_; }
   const IngressLimits& limits() const { return limits_; }
   const std::vector<Route>& routes() const { return routes_; }
   const std::map<ServiceId, ServiceSpec>& services() const { return services_; }
 
+  // Whether requests need an API key, unless their route is public. True also if the list of
+  // tenants is empty; then no key is valid.
+  bool has_tenants() const { return has_tenants_; }
+  const std::vector<Tenant>& tenants() const { return tenants_; }
+
+  // Returns the tenant that holds the key; null if none does.
+  const Tenant* FindTenant(std::string_view api_key) const;
+
+  // Short digests of keys that several tenants hold; such a key belongs to the first of them.
+  const std::vector<std::string>& duplicate_keys() const { return duplicate_keys_; }
+
   // Returns the route of `host` with the longest prefix that matches `path`; null if none does.
   const Route* FindRoute(std::string_view host, std::string_view path) const;
 
@@ -97,6 +129,10 @@
   const std::vector<Route> routes_;
   std::map<ServiceId, ServiceSpec> services_;
   const IngressLimits limits_;
+  const bool has_tenants_;
+  std::vector<Tenant> tenants_;
+  ApiKeyTable api_keys_;
+  std::vector<std::string> duplicate_keys_;
   // Index into `routes_` by host and prefix.
   std::unordered_map<std::string, std::size_t> by_prefix_;
 };
--- a/include/peridotfork/config/settings.h
+++ b/include/peridotfork/config/settings.h
@@ -63,6 +63,9 @@
   Address store_address;
   // Longest time for which the store may be unresponsive unnoticed.
   std::chrono::milliseconds store_max_silence{4000};
+  // Time after which a key that the configuration no longer holds must not be accepted, whether or
+  // not the store can be reached; zero if there is no such limit.
+  std::chrono::milliseconds store_revoke_after{0};
   // Inner addresses of the processes through which all others are discovered.
   std::vector<Address> seeds;
   std::uint32_t max_in_flight = 0;
@@ -80,9 +83,15 @@
 using SettingsResult = boost::outcome_v2::
     basic_result<Settings, std::vector<IniFault>, boost::outcome_v2::policy::terminate>;
 
-// Reads the settings of one program. Thread-safe.
+// Value of an environment variable; null if it is not set.
+using VariableLookup = const char* (*)(const char* name);
+const char* ProcessVariable(const char* name);
+
+// Reads the settings of one program. An environment variable such as PERIDOTFORK_PEERS_SEEDS
+// overrides the key `seeds` of the section `peers`, unless it is empty. Thread-safe.
 template <typename Settings>
-SettingsResult<Settings> ParseSettings(std::string_view text);
+SettingsResult<Settings> ParseSettings(std::string_view text,
+                                       VariableLookup variables = &ProcessVariable);
 
 // Formats the settings as INI text that ParseSettings() parses to equal settings.
 template <typename Settings>
--- a/include/peridotfork/discovery/metadata_store.h
+++ b/include/peridotfork/discovery/metadata_store.h
@@ -38,6 +38,8 @@
 // Reply of the store to one call.
 struct StoreReply {
   std::vector<StoreChange> changes;
+  // The store had nothing to report, not even entries that are ignored here.
+  bool empty = false;
   // Errors of values that could not be decoded; the rest of the reply is valid.
   std::vector<Error> faults;
   // Revision after which the next watch continues.
--- a/include/peridotfork/discovery/store_follower.h
+++ b/include/peridotfork/discovery/store_follower.h
@@ -12,6 +12,7 @@
 
 #include "peridotfork/core/clock.h"
 #include "peridotfork/discovery/fleet_directory.h"
+#include "peridotfork/discovery/freshness.h"
 #include "peridotfork/discovery/metadata_store.h"
 #include "peridotfork/runtime/log.h"
 #include "peridotfork/runtime/ranked_mutex.h"
@@ -23,6 +24,8 @@
   // Longest time for which the store may be unresponsive unnoticed. The platform expects a host to
   // act on the newest state again after this time.
   std::chrono::milliseconds max_silence{4000};
+  // See FreshnessOptions.
+  std::chrono::milliseconds max_age{0};
   // Time to connect anew and to read the changes after a silence was noticed.
   std::chrono::milliseconds catch_up{100};
   // How long the store holds a watch without changes.
@@ -61,6 +64,10 @@
   void Start();
   void Stop() { stopped_ = true; }
 
+  // All changes that the store acknowledged until this time are known and have been published;
+  // BootTime() before the first listing.
+  BootTime current_as_of() const { return current_as_of_; }
+
   std::uint64_t calls() const { return calls_; }
   std::uint64_t failures() const { return failures_; }
   std::uint64_t refused_values() const { return refused_values_; }
@@ -89,6 +96,7 @@
   const Listener listener_;
   const FollowerOptions options_;
   std::atomic<bool> stopped_ = false;
+  std::atomic<BootTime> current_as_of_{BootTime()};
   std::atomic<std::uint64_t> calls_ = 0;
   std::atomic<std::uint64_t> failures_ = 0;
   std::atomic<std::uint64_t> refused_values_ = 0;
@@ -101,6 +109,11 @@
   std::uint32_t consecutive_failures_ = 0;
   // When the call in progress was started.
   BootTime call_start_;
+  Freshness freshness_;
+  // How long the watch in progress waits.
+  std::chrono::milliseconds watch_duration_{0};
+  // Start of the first call of the listing in progress.
+  BootTime listing_start_;
   std::optional<StoreRevision> revision_;
   // State of a listing in progress.
   std::optional<StoreRevision> listing_revision_;
--- a/include/peridotfork/gateway/caller_session.h
+++ b/include/peridotfork/gateway/caller_session.h
@@ -35,6 +35,10 @@
   // Returns null if the request was answered at once, without running on a target.
   virtual RequestRunnerPtr Handle(http::RawRequest request, BootTime start, Callback done) = 0;
 
+  // The response to a request that is refused for its head alone, so that its body need not be
+  // read; none if the body is to be read.
+  virtual std::optional<http::RawResponse> RefuseHead(const http::RawRequest& head) = 0;
+
   // Builds the error response to a request that could not be read.
   virtual http::RawResponse Refuse(unsigned status, const Error& error) = 0;
 
--- a/include/peridotfork/gateway/crash_guard.h
+++ b/include/peridotfork/gateway/crash_guard.h
@@ -17,6 +17,7 @@
 #include "peridotfork/protocol/message.h"
 #include "peridotfork/runtime/log.h"
 #include "peridotfork/runtime/ranked_mutex.h"
+#include "peridotfork/tenants/authenticator.h"
 
 namespace peridotfork {
 
@@ -45,8 +46,8 @@
              Publisher publish,
              CrashGuardOptions options = {});
 
-  // Returns the same value for every repetition of a request, on any host.
-  static std::uint64_t Fingerprint(const http::RawRequest& request);
+  // Returns the same value for every repetition of a request by the same tenant, on any host.
+  static std::uint64_t Fingerprint(const http::RawRequest& request, const CallerIdentity& identity);
 
   // If false, no request is suspected or quarantined, and Remaining() and OnAnswered() may be
   // skipped. May stay true after the last suspect has expired.
--- a/include/peridotfork/gateway/gateway.h
+++ b/include/peridotfork/gateway/gateway.h
@@ -60,6 +60,7 @@
 
   // RequestSink:
   RequestRunnerPtr Handle(http::RawRequest request, BootTime start, Callback done) override;
+  std::optional<http::RawResponse> RefuseHead(const http::RawRequest& head) override;
   http::RawResponse Refuse(unsigned status, const Error& error) override;
   IngressLimits limits() const override;
   const Clock& clock() const override { return context_.clock; }
@@ -81,7 +82,12 @@
   // When a caller may come back to a host that has no configuration yet.
   std::chrono::milliseconds RetryAfterNoCatalogue(const IngressRequest& request) const;
   // Time for which the request stays quarantined for crashing targets; zero if it may run.
-  std::chrono::nanoseconds QuarantineRemaining(const http::RawRequest& request) const;
+  std::chrono::nanoseconds QuarantineRemaining(const http::RawRequest& request,
+                                               const CallerIdentity& identity) const;
+  // Whether this host is certain that a key that it knows has not been taken away for longer than
+  // the settings allow.
+  bool KeysAreCurrent() const;
+  CataloguePtr catalogue() const;
   void OnPeerMessage(const protocol::Envelope& envelope);
   void OnTargetLoss(const protocol::Envelope& envelope, const protocol::TargetLossNotice& notice);
   void Publish(const protocol::TargetLossNotice& notice);
--- a/include/peridotfork/gateway/message_codec.h
+++ b/include/peridotfork/gateway/message_codec.h
@@ -5,12 +5,14 @@
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "peridotfork/balance/target.h"
 #include "peridotfork/core/error.h"
 #include "peridotfork/core/ids.h"
 #include "peridotfork/http/raw_message.h"
+#include "peridotfork/tenants/authenticator.h"
 #include "peridotfork/upstream/answer_memory.h"
 
 namespace peridotfork {
@@ -56,9 +58,14 @@
 
   virtual IngressRequest DecodeRequest(const http::RawRequest& request) const = 0;
 
+  // The values of all fields of the request that hold credentials; valid as long as the request.
+  virtual std::vector<std::string_view> Credentials(const http::RawRequest& request) const = 0;
+
   // The request as forwarded to targets, without the fields that apply to a single connection
-  // or a single attempt.
-  virtual http::RawRequest MakeForwarded(const http::RawRequest& request) const = 0;
+  // or a single attempt. If the identity is enforced, the credentials are removed, and the request
+  // names the tenant of the identity and no other.
+  virtual http::RawRequest MakeForwarded(const http::RawRequest& request,
+                                         const CallerIdentity& identity) const = 0;
 
   // Adds the fields of one attempt: its target and its time limit.
   virtual void AddAttemptFields(http::RawRequest& request,
--- a/include/peridotfork/gateway/request_runner.h
+++ b/include/peridotfork/gateway/request_runner.h
@@ -41,6 +41,7 @@
   http::RawRequest message;
   CataloguePtr catalogue;
   const Route* route = nullptr;
+  CallerIdentity identity;
   // The services that run the request: all shards, or one service.
   std::vector<ServiceId> services;
   // When the caller began to wait, as observed on this host.
--- a/include/peridotfork/internal/platform/json_reader.h
+++ b/include/peridotfork/internal/platform/json_reader.h
@@ -40,6 +40,15 @@
     return value == nullptr ? std::string() : value->get<std::string>();
   }
 
+  bool Boolean(const char* name) {
+    const nlohmann::json* const value = Find(name);
+    if (value != nullptr && !value->is_boolean()) {
+      Fail(ErrorKind::kWrongType, Path(name));
+      return false;
+    }
+    return value != nullptr && value->get<bool>();
+  }
+
   // Reads a number from 0 to `max`. Fractions are rejected for integral types.
   template <typename Number>
   Number NonNegative(const char* name, double max = MaxOf<Number>()) {
--- a/include/peridotfork/platform/message_codec.h
+++ b/include/peridotfork/platform/message_codec.h
@@ -10,7 +10,9 @@
 class PlatformCodec final : public MessageCodec {
  public:
   IngressRequest DecodeRequest(const http::RawRequest& request) const override;
-  http::RawRequest MakeForwarded(const http::RawRequest& request) const override;
+  std::vector<std::string_view> Credentials(const http::RawRequest& request) const override;
+  http::RawRequest MakeForwarded(const http::RawRequest& request,
+                                 const CallerIdentity& identity) const override;
   void AddAttemptFields(http::RawRequest& request,
                         const TargetId& target,
                         std::chrono::milliseconds time_left) const override;
--- a/src/catalogue/catalogue.cc
+++ b/src/catalogue/catalogue.cc
@@ -18,8 +18,22 @@
 Catalogue::Catalogue(Revision version,
                      std::vector<Route> routes,
                      std::vector<ServiceSpec> services,
-                     IngressLimits limits)
-    : version_(version), routes_(std::move(routes)), limits_(limits) {
+                     IngressLimits limits,
+                     std::optional<std::vector<TenantSpec>> tenants)
+    : version_(version),
+      routes_(std::move(routes)),
+      limits_(limits),
+      has_tenants_(tenants.has_value()) {
+  if (tenants) {
+    for (TenantSpec& spec : *tenants) {
+      for (const std::string& key : spec.api_keys) {
+        if (!api_keys_.Add(key, tenants_.size())) {
+          duplicate_keys_.push_back(ApiKeyTable::ShortDigest(key));
+        }
+      }
+      tenants_.push_back(std::move(spec.tenant));
+    }
+  }
   for (ServiceSpec& service : services) {
     ServiceId id = service.id;
     services_.emplace(std::move(id), std::move(service));
@@ -29,6 +43,11 @@
   }
 }
 
+const Tenant* Catalogue::FindTenant(std::string_view api_key) const {
+  const std::optional<std::size_t> index = api_keys_.Find(api_key);
+  return index ? &tenants_[*index] : nullptr;
+}
+
 const Route* Catalogue::FindRoute(std::string_view host, std::string_view path) const {
   // Every prefix ends with a slash, so only the parts of the path that do are looked up.
   std::size_t end = path.rfind('/');
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
+#include <cstdlib>
 #include <set>
 #include <utility>
 
@@ -130,6 +132,11 @@
               "Longest time for which the store may be unresponsive unnoticed. A longer time needs "
               "fewer calls.",
               {2'000, 60'000}),
+          MakeKey<S, &S::store_revoke_after>(
+              "store", "revoke_after", "0ms",
+              "Time after which an API key that was taken away is no longer accepted, even if the "
+              "store can't be reached; 0 for no such limit.",
+              {0, 60'000}),
           MakeKey<S, &S::seeds>("peers", "seeds", "",
                                 "Inner addresses of a few gateways, optionally including this one, "
                                 "through which all gateways discover each other."),
@@ -172,6 +179,33 @@
   return sections;
 }
 
+std::string VariableName(const std::string& section, std::string_view key) {
+  std::string name = "PERIDOTFORK_" + section + "_" + std::string(key);
+  std::ranges::transform(name, name.begin(), [](unsigned char character) {
+    return static_cast<char>(std::toupper(character));
+  });
+  return name;
+}
+
+// Overrides the entries of a section by environment variables that are set and not empty.
+template <typename Settings>
+void ApplyVariables(const std::string& name, VariableLookup variables, IniSection& section) {
+  for (const KeySpec<Settings>& spec : SettingsTable<Settings>()) {
+    if (spec.section != name) {
+      continue;
+    }
+    const char* const value = variables(VariableName(name, spec.key).c_str());
+    if (value == nullptr || *value == '\0') {
+      continue;
+    }
+    std::erase_if(section.entries, [&](const IniEntry& entry) { return entry.key == spec.key; });
+    IniEntry entry;
+    entry.key = spec.key;
+    entry.value = value;
+    section.entries.push_back(std::move(entry));
+  }
+}
+
 // A lease must be renewed before it ends, and the clock skew is subtracted from
 // its length.
 void CheckRelations(const AgentSettings& settings, std::vector<IniFault>* faults) {
@@ -205,6 +239,10 @@
   return {};
 }
 
+const char* ProcessVariable(const char* name) {
+  return std::getenv(name);
+}
+
 template <>
 const std::vector<KeySpec<AgentSettings>>& SettingsTable<AgentSettings>() {
   static const auto table = AgentTable();
@@ -231,7 +269,7 @@
 }
 
 template <typename Settings>
-SettingsResult<Settings> ParseSettings(std::string_view text) {
+SettingsResult<Settings> ParseSettings(std::string_view text, VariableLookup variables) {
   Settings settings;
   std::vector<IniFault> faults;
   const std::vector<std::string> names = SectionNames<Settings>();
@@ -242,7 +280,8 @@
                      [&](const IniSection& section) { return section.name == name; });
     IniSection missing;
     missing.name = name;
-    const IniSection& section = found == sections.end() ? missing : *found;
+    IniSection section = found == sections.end() ? missing : *found;
+    ApplyVariables<Settings>(name, variables, section);
     const auto skip = [](const IniEntry&) { return false; };
     for (IniFault& fault : ReadSection(SettingsTable<Settings>(), name, section, skip, settings)) {
       faults.push_back(std::move(fault));
@@ -271,10 +310,14 @@
   return text;
 }
 
-template SettingsResult<AgentSettings> ParseSettings(std::string_view text);
-template SettingsResult<DispatcherSettings> ParseSettings(std::string_view text);
-template SettingsResult<EntrySettings> ParseSettings(std::string_view text);
-template SettingsResult<GatewaySettings> ParseSettings(std::string_view text);
+template SettingsResult<AgentSettings> ParseSettings(std::string_view text,
+                                                     VariableLookup variables);
+template SettingsResult<DispatcherSettings> ParseSettings(std::string_view text,
+                                                          VariableLookup variables);
+template SettingsResult<EntrySettings> ParseSettings(std::string_view text,
+                                                     VariableLookup variables);
+template SettingsResult<GatewaySettings> ParseSettings(std::string_view text,
+                                                       VariableLookup variables);
 template std::string ToIni(const AgentSettings& settings);
 template std::string ToIni(const DispatcherSettings& settings);
 template std::string ToIni(const EntrySettings& settings);
--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -28,7 +28,8 @@
       log_(log),
       listener_(std::move(listener)),
       options_(options),
-      directory_(clock) {}
+      directory_(clock),
+      freshness_({options.max_age, options.watch_duration(), options.batch_delay()}) {}
 
 void StoreFollower::Start() {
   pool_.Post([this] { ListPage(); });
@@ -44,6 +45,9 @@
     const RankedLock lock(mutex_);
     call_start_ = clock_.now();
     page = next_page_;
+    if (page.empty()) {
+      listing_start_ = call_start_;
+    }
   }
   store_.List(page, [this](Result<StoreReply> reply) { OnPage(std::move(reply)); });
 }
@@ -80,6 +84,8 @@
                                       {"revision", std::to_string(revision_->value())}});
       listed_changes_.clear();
       Publish();
+      freshness_.OnListed(listing_start_);
+      current_as_of_ = freshness_.current_as_of();
     }
   }
   if (complete) {
@@ -95,13 +101,14 @@
   }
   ++calls_;
   StoreRevision after;
+  std::chrono::milliseconds duration{0};
   {
     const RankedLock lock(mutex_);
     call_start_ = clock_.now();
     after = revision_.value_or(StoreRevision(0));
+    watch_duration_ = duration = freshness_.NextWatchDuration(call_start_);
   }
-  store_.Watch(after, options_.watch_duration(),
-               [this](Result<StoreReply> reply) { OnChanges(std::move(reply)); });
+  store_.Watch(after, duration, [this](Result<StoreReply> reply) { OnChanges(std::move(reply)); });
 }
 
 void StoreFollower::OnChanges(Result<StoreReply> result) {
@@ -111,6 +118,7 @@
   }
   const StoreReply& reply = result.value();
   LogFaults(reply);
+  std::chrono::milliseconds delay{0};
   {
     const RankedLock lock(mutex_);
     OnAnswered();
@@ -126,11 +134,16 @@
       }
       Publish();
     }
+    freshness_.OnWatched(call_start_, watch_duration_, reply.empty);
+    current_as_of_ = freshness_.current_as_of();
+    if (!reply.changes.empty()) {
+      delay = freshness_.NextBatchDelay(clock_.now());
+    }
   }
-  if (reply.changes.empty()) {
+  if (delay == std::chrono::milliseconds(0)) {
     WatchNext();
   } else {
-    pool_.After(options_.batch_delay(), [this] { WatchNext(); });
+    pool_.After(delay, [this] { WatchNext(); });
   }
 }
 
--- a/src/gateway/caller_session.cc
+++ b/src/gateway/caller_session.cc
@@ -113,6 +113,8 @@
     OnReadError(error);
   } else if (parser_->is_done()) {
     DispatchRequest();
+  } else if (std::optional<http::RawResponse> refusal = sink_.RefuseHead(parser_->get())) {
+    Write(std::move(*refusal), false);
   } else {
     ReadBody();
   }
--- a/src/gateway/crash_guard.cc
+++ b/src/gateway/crash_guard.cc
@@ -27,11 +27,13 @@
       options_(options),
       quarantine_(clock, options.quarantine) {}
 
-std::uint64_t CrashGuard::Fingerprint(const http::RawRequest& request) {
+std::uint64_t CrashGuard::Fingerprint(const http::RawRequest& request,
+                                      const CallerIdentity& identity) {
   std::string text(View(request.method_string()));
   text.append(1, ' ').append(View(request.target())).append(1, '\n').append(request.body());
   const ServiceId host(std::string(View(request[boost::beast::http::field::host])));
-  return Quarantine::Fingerprint(CallerId(), host, text);
+  const CallerId caller(identity.tenant == nullptr ? std::string() : identity.tenant->id.value());
+  return Quarantine::Fingerprint(caller, host, text);
 }
 
 std::chrono::nanoseconds CrashGuard::Remaining(std::uint64_t fingerprint) const {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -44,6 +44,13 @@
 // Upper limit for it without a configuration, since another host may have one.
 constexpr std::chrono::milliseconds kMaxRetryAfterOutage{1000};
 
+// Status of a request without the key of a tenant.
+constexpr unsigned kUnauthorized = 401;
+// Requests with keys are refused this long before the limit on the age of what the host knows.
+constexpr std::chrono::milliseconds kRevokeMargin{100};
+// Retry-After of such a refusal: one call to the store ends the state, and other hosts may serve.
+constexpr std::chrono::milliseconds kRetryAfterStaleKeys{100};
+
 // Part of the memory of the process that is for the answers of targets.
 constexpr std::uint64_t kAnswerMemoryDivisor = 16;
 
@@ -83,12 +90,13 @@
              [this](const protocol::TargetLossNotice& notice) { Publish(notice); }),
       runner_context_{context.pool.context(), context.clock, *adapters_.codec, targets_,
                       connections_,           guard_,        request_log_},
-      follower_(context.pool,
-                context.clock,
-                *adapters_.store,
-                context.log,
-                [this](const FleetDirectory& directory) { OnDirectory(directory); },
-                {.max_silence = settings.store_max_silence}),
+      follower_(
+          context.pool,
+          context.clock,
+          *adapters_.store,
+          context.log,
+          [this](const FleetDirectory& directory) { OnDirectory(directory); },
+          {.max_silence = settings.store_max_silence, .max_age = settings.store_revoke_after}),
       status_server_(context.pool.context(), {}, *this),
       metrics_server_(context.pool.context(), {}, *this),
       acceptor_(asio::make_strand(context.pool.context())),
@@ -246,17 +254,23 @@
 
 void Gateway::OnDirectory(const FleetDirectory& directory) {
   targets_.Update(directory.targets(), directory.drained(), directory.catalogue().get());
-  const RankedLock lock(catalogue_mutex_);
-  catalogue_ = directory.catalogue();
+  CataloguePtr before = directory.catalogue();
+  {
+    const RankedLock lock(catalogue_mutex_);
+    std::swap(catalogue_, before);
+  }
+  if (before != directory.catalogue()) {
+    for (const std::string& digest : directory.catalogue()->duplicate_keys()) {
+      context_.log.Warning("Several tenants hold the same API key; it belongs to the first.",
+                           {{"key_digest", digest}});
+    }
+  }
 }
 
 RequestRunnerPtr Gateway::Handle(http::RawRequest request, BootTime start, Callback done) {
   RoutedRequest routed;
   routed.ingress = adapters_.codec->DecodeRequest(request);
-  {
-    const RankedLock lock(catalogue_mutex_);
-    routed.catalogue = catalogue_;
-  }
+  routed.catalogue = catalogue();
   const RequestId id = routed.ingress.id;
   const auto refuse = [&](unsigned status, const Error& error,
                           std::optional<std::chrono::milliseconds> retry_after) {
@@ -275,6 +289,18 @@
         404, MakeError(ErrorKind::kUnknownName, "route", routed.ingress.host + routed.ingress.path),
         std::nullopt);
   }
+  const Result<CallerIdentity> identity =
+      IdentifyCaller(*routed.catalogue, *routed.route, adapters_.codec->Credentials(request));
+  if (!identity.has_value()) {
+    return refuse(kUnauthorized, identity.error(), std::nullopt);
+  }
+  routed.identity = identity.value();
+  if (routed.identity.tenant != nullptr && !KeysAreCurrent()) {
+    return refuse(503,
+                  MakeError(ErrorKind::kUnavailable, "gateway",
+                            "the store has not confirmed the API keys recently enough"),
+                  kRetryAfterStaleKeys);
+  }
   routed.start = start;
   if (!CanFinishBeforeStop(routed)) {
     return refuse(503,
@@ -282,7 +308,8 @@
                             "the request may not end before the process does"),
                   kRetryAfterDraining);
   }
-  if (const auto wait = QuarantineRemaining(request); wait > std::chrono::nanoseconds(0)) {
+  if (const auto wait = QuarantineRemaining(request, routed.identity);
+      wait > std::chrono::nanoseconds(0)) {
     return refuse(503,
                   MakeError(ErrorKind::kQuarantined, "gateway",
                             "the request is quarantined because it crashes targets"),
@@ -324,11 +351,12 @@
                                             *request.caller_timeout * kRetryAfterOutage));
 }
 
-std::chrono::nanoseconds Gateway::QuarantineRemaining(const http::RawRequest& request) const {
+std::chrono::nanoseconds Gateway::QuarantineRemaining(const http::RawRequest& request,
+                                                      const CallerIdentity& identity) const {
   if (!guard_.has_suspects()) {
     return std::chrono::nanoseconds(0);
   }
-  return guard_.Remaining(CrashGuard::Fingerprint(request));
+  return guard_.Remaining(CrashGuard::Fingerprint(request, identity));
 }
 
 void Gateway::OnPeerMessage(const protocol::Envelope& envelope) {
@@ -381,19 +409,50 @@
   return {ChooseService(route, route.services.size() > 1 ? route_sequence_++ : 0)};
 }
 
+std::optional<http::RawResponse> Gateway::RefuseHead(const http::RawRequest& head) {
+  const CataloguePtr known = catalogue();
+  if (known == nullptr || !known->has_tenants()) {
+    return std::nullopt;
+  }
+  const IngressRequest ingress = adapters_.codec->DecodeRequest(head);
+  const Route* const route = known->FindRoute(ingress.host, ingress.path);
+  if (route == nullptr) {
+    return std::nullopt;
+  }
+  const Result<CallerIdentity> identity =
+      IdentifyCaller(*known, *route, adapters_.codec->Credentials(head));
+  if (identity.has_value()) {
+    return std::nullopt;
+  }
+  request_log_.OnRefused(ingress.id, kUnauthorized, identity.error());
+  return adapters_.codec->EncodeError(kUnauthorized, identity.error(), std::nullopt);
+}
+
+bool Gateway::KeysAreCurrent() const {
+  if (settings_.store_revoke_after <= std::chrono::milliseconds(0)) {
+    return true;
+  }
+  return context_.clock.now() - follower_.current_as_of() <=
+         settings_.store_revoke_after - kRevokeMargin;
+}
+
+CataloguePtr Gateway::catalogue() const {
+  const RankedLock lock(catalogue_mutex_);
+  return catalogue_;
+}
+
 http::RawResponse Gateway::Refuse(unsigned status, const Error& error) {
   request_log_.OnRefused(RequestId(), status, error);
   return adapters_.codec->EncodeError(status, error, std::nullopt);
 }
 
 IngressLimits Gateway::limits() const {
-  const RankedLock lock(catalogue_mutex_);
-  return catalogue_ == nullptr ? IngressLimits() : catalogue_->limits();
+  const CataloguePtr known = catalogue();
+  return known == nullptr ? IngressLimits() : known->limits();
 }
 
 bool Gateway::ready() const {
-  const RankedLock lock(catalogue_mutex_);
-  return !draining_ && catalogue_ != nullptr;
+  return !draining_ && catalogue() != nullptr;
 }
 
 void Gateway::Handle(http::Request request, http::Responder respond) {
--- a/src/gateway/request_runner.cc
+++ b/src/gateway/request_runner.cc
@@ -95,7 +95,7 @@
                              std::function<void()> on_end)
     : context_(context),
       request_(std::move(request)),
-      forwarded_(context.codec.MakeForwarded(request_.message)),
+      forwarded_(context.codec.MakeForwarded(request_.message, request_.identity)),
       done_(std::move(done)),
       on_end_(std::move(on_end)),
       timer_(context.io),
@@ -240,7 +240,7 @@
 
 std::uint64_t RequestRunner::Fingerprint() {
   if (!fingerprint_) {
-    fingerprint_ = CrashGuard::Fingerprint(request_.message);
+    fingerprint_ = CrashGuard::Fingerprint(request_.message, request_.identity);
   }
   return *fingerprint_;
 }
--- a/src/platform/catalogue_codec.cc
+++ b/src/platform/catalogue_codec.cc
@@ -92,6 +92,7 @@
   if (reader.Has("priority")) {
     route.priority = reader.NonNegative<std::uint32_t>("priority");
   }
+  route.is_public = reader.Has("public") && reader.Boolean("public");
   route.repeatability = ReadRepeatability(reader);
   if (reader.Has("gather")) {
     route.gather = ReadGather(reader);
@@ -113,6 +114,28 @@
   return service;
 }
 
+TenantSpec ReadTenant(JsonReader& reader) {
+  TenantSpec spec;
+  spec.tenant.id = TenantId(reader.String("name"));
+  if (reader.Has("priority")) {
+    spec.tenant.priority = reader.NonNegative<std::uint32_t>("priority");
+  }
+  if (reader.Has("rate_per_s")) {
+    spec.tenant.quota_rate = Rate(reader.NonNegative<double>("rate_per_s"));
+  }
+  if (reader.Has("burst")) {
+    spec.tenant.quota_burst = reader.NonNegative<double>("burst");
+  }
+  for (const json& key : reader.Array("api_keys")) {
+    if (!key.is_string()) {
+      reader.Fail(ErrorKind::kWrongType, reader.Path("api_keys"));
+      break;
+    }
+    spec.api_keys.push_back(key.get<std::string>());
+  }
+  return spec;
+}
+
 // Reads the array `name`, decoding each element with `read`.
 template <typename T>
 std::vector<T> ReadList(JsonReader& reader, const char* name, T (*read)(JsonReader&)) {
@@ -155,10 +178,15 @@
   if (reader.Has("limits")) {
     limits = ReadLimits(document["limits"], reader);
   }
+  std::optional<std::vector<TenantSpec>> tenants;
+  if (reader.Has("tenants")) {
+    tenants = ReadList(reader, "tenants", &ReadTenant);
+  }
   if (reader.failed()) {
     return reader.error();
   }
-  return CataloguePtr(new Catalogue(version, std::move(routes), std::move(services), limits));
+  return CataloguePtr(
+      new Catalogue(version, std::move(routes), std::move(services), limits, std::move(tenants)));
 }
 
 Result<TargetEntry> DecodeTargetEntry(const TargetId& id, std::string_view text) {
--- a/src/platform/message_codec.cc
+++ b/src/platform/message_codec.cc
@@ -24,6 +24,8 @@
 constexpr const char* kSignature = "Response-Stamp";
 constexpr const char* kSignatures = "Part-Stamps";
 constexpr const char* kMissing = "Missing-Parts";
+// Name of the tenant that holds the key of the request.
+constexpr const char* kTenant = "Tenant";
 constexpr const char* kNotRun = "Not-Executed";
 // Numbers of running requests, waiting requests and slots, separated by commas.
 constexpr const char* kLoad = "Server-Load";
@@ -127,7 +129,17 @@
   return decoded;
 }
 
-http::RawRequest PlatformCodec::MakeForwarded(const http::RawRequest& request) const {
+std::vector<std::string_view> PlatformCodec::Credentials(const http::RawRequest& request) const {
+  std::vector<std::string_view> credentials;
+  const auto [begin, end] = request.equal_range(bhttp::field::authorization);
+  for (auto field = begin; field != end; ++field) {
+    credentials.push_back(View(field->value()));
+  }
+  return credentials;
+}
+
+http::RawRequest PlatformCodec::MakeForwarded(const http::RawRequest& request,
+                                              const CallerIdentity& identity) const {
   http::RawRequest forwarded;
   forwarded.version(11);
   forwarded.method_string(request.method_string());
@@ -135,6 +147,13 @@
   CopyEndToEnd(request, forwarded);
   forwarded.erase(kTimeout);
   forwarded.erase(kExpectedTarget);
+  if (identity.enforced) {
+    forwarded.erase(bhttp::field::authorization);
+    forwarded.erase(kTenant);
+    if (identity.tenant != nullptr) {
+      forwarded.set(kTenant, identity.tenant->id.value());
+    }
+  }
   forwarded.body() = request.body();
   const bool has_body = request.has_content_length() || request.chunked();
   if (has_body || !request.body().empty()) {
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -117,6 +117,7 @@
   if (reader.failed()) {
     return reader.error();
   }
+  reply.empty = items.empty();
   for (const json& item : items) {
     AddItem(item, reply);
   }
--- a/test/config/settings_test.cc
+++ b/test/config/settings_test.cc
@@ -31,6 +31,29 @@
   CHECK(ParseSettings<DispatcherSettings>(kLocalAgent));
 }
 
+// Guards against deployments whose template can't hold a value losing it.
+TEST_CASE("an environment variable overrides a key, and an empty one does not") {
+  const auto variables = [](const char* name) -> const char* {
+    const std::string_view variable(name);
+    return variable == "PERIDOTFORK_STORE_REVOKE_AFTER" ? "5000ms"
+           : variable == "PERIDOTFORK_PEERS_SEEDS"      ? "10.1.0.1:7000,10.1.0.2:7000"
+           : variable == "PERIDOTFORK_HOST_ID"          ? ""
+                                                        : nullptr;
+  };
+  const std::string text = kHost +
+                           "[ingress]\naddress = 127.0.0.1:1\n[metrics]\naddress = 127.0.0.1:2\n"
+                           "[store]\naddress = 127.0.0.1:3\nrevoke_after = 1s\n";
+  const auto gateway = ParseSettings<GatewaySettings>(text, variables);
+  REQUIRE(gateway);
+  CHECK(gateway.value().store_revoke_after == std::chrono::seconds(5));
+  CHECK(gateway.value().seeds == std::vector{Address("10.1.0.1:7000"), Address("10.1.0.2:7000")});
+  CHECK(gateway.value().id == HostId("h1"));
+  const auto plain = ParseSettings<GatewaySettings>(text);
+  REQUIRE(plain);
+  CHECK(plain.value().store_revoke_after == std::chrono::seconds(1));
+  CHECK(plain.value().seeds.empty());
+}
+
 // Guards against operators having to start a program once per fault.
 TEST_CASE("every fault is listed with line, section, key, value and expected form") {
   const auto agent = ParseSettings<AgentSettings>(
--- a/test/gateway/crash_guard_test.cc
+++ b/test/gateway/crash_guard_test.cc
@@ -72,11 +72,13 @@
 
 TEST_CASE("a fingerprint depends on path and body, not on the request id") {
   http::RawRequest request = MakeRequest("/a/1", "x");
-  const std::uint64_t first = CrashGuard::Fingerprint(request);
+  const std::uint64_t first = CrashGuard::Fingerprint(request, {});
   request.set("Request-Id", "another");
-  CHECK(CrashGuard::Fingerprint(request) == first);
-  CHECK(CrashGuard::Fingerprint(MakeRequest("/a/2", "x")) != first);
-  CHECK(CrashGuard::Fingerprint(MakeRequest("/a/1", "y")) != first);
+  CHECK(CrashGuard::Fingerprint(request, {}) == first);
+  CHECK(CrashGuard::Fingerprint(MakeRequest("/a/2", "x"), {}) != first);
+  CHECK(CrashGuard::Fingerprint(MakeRequest("/a/1", "y"), {}) != first);
+  const Tenant tenant{TenantId("north"), std::nullopt, Rate(0), 0};
+  CHECK(CrashGuard::Fingerprint(request, {true, &tenant}) != first);
 }
 
 TEST_CASE("a request that takes down two targets in turn is refused on every host") {
--- a/test/platform/catalogue_codec_test.cc
+++ b/test/platform/catalogue_codec_test.cc
@@ -34,6 +34,35 @@
   CHECK(catalogue.services().at(ServiceId("s1")).max_connections == Connections(31));
 }
 
+TEST_CASE("tenants with their keys, quotas and ranks are decoded, and public routes") {
+  nlohmann::json document = nlohmann::json::parse(kConfigurationText);
+  CHECK_FALSE(DecodeCatalogue(document.dump()).value()->has_tenants());
+  document["tenants"] = nlohmann::json::parse(R"([
+    {"name":"north","api_keys":["k1","k2"],"priority":0,"rate_per_s":23,"burst":7.5},
+    {"name":"south","api_keys":[]}])");
+  document["routes"][0]["public"] = true;
+  const Result<CataloguePtr> decoded = DecodeCatalogue(document.dump());
+  REQUIRE(decoded.has_value());
+  const Catalogue& catalogue = *decoded.value();
+  CHECK(catalogue.has_tenants());
+  REQUIRE(catalogue.FindTenant("k2") != nullptr);
+  const Tenant& north = *catalogue.FindTenant("k2");
+  CHECK(north.id == TenantId("north"));
+  CHECK(north.priority == 0U);
+  CHECK(north.quota_rate == Rate(23));
+  CHECK(north.quota_burst == doctest::Approx(7.5));
+  CHECK(catalogue.FindTenant("k3") == nullptr);
+  CHECK(catalogue.FindTenant("") == nullptr);
+  CHECK_FALSE(catalogue.tenants()[1].priority.has_value());
+  CHECK(catalogue.tenants()[1].quota_rate == Rate(0));
+  CHECK(catalogue.routes()[0].is_public);
+  CHECK_FALSE(catalogue.routes()[1].is_public);
+  document["tenants"] = nlohmann::json::array();
+  CHECK(DecodeCatalogue(document.dump()).value()->has_tenants());
+  document["tenants"] = nlohmann::json::parse(R"([{"name":"north","api_keys":["k1",5]}])");
+  CHECK_FALSE(DecodeCatalogue(document.dump()).has_value());
+}
+
 TEST_CASE("a configuration with a missing or invalid field is refused with its path") {
   using nlohmann::json;
   struct Case {
--- a/test/platform/message_codec_test.cc
+++ b/test/platform/message_codec_test.cc
@@ -41,7 +41,7 @@
 
 TEST_CASE("a forwarded request keeps all fields except those of one connection or attempt") {
   const PlatformCodec codec;
-  http::RawRequest forwarded = codec.MakeForwarded(SampleRequest());
+  http::RawRequest forwarded = codec.MakeForwarded(SampleRequest(), {});
   CHECK(forwarded.method() == bhttp::verb::post);
   CHECK(forwarded.target() == "/goka/2f?x=1");
   CHECK(forwarded["Request-Id"] == "9c41d07be2a35f68");
@@ -58,6 +58,36 @@
   CHECK(forwarded["Target-Instance"] == "i-1");
 }
 
+TEST_CASE("an enforced identity replaces the credentials and any tenant that the caller names") {
+  const PlatformCodec codec;
+  http::RawRequest request = SampleRequest();
+  request.insert(bhttp::field::authorization, "Bearer key-one");
+  request.insert(bhttp::field::authorization, "Bearer key-two");
+  request.insert("tenant", "forged");
+  request.insert("Tenant", "forged-too");
+  request.set(bhttp::field::connection, "Tenant, Authorization");
+  CHECK(codec.Credentials(request) ==
+        std::vector<std::string_view>{"Bearer key-one", "Bearer key-two"});
+
+  const Tenant tenant{TenantId("north"), std::nullopt, Rate(0), 0};
+  const http::RawRequest named = codec.MakeForwarded(request, {true, &tenant});
+  CHECK(named.find("Authorization") == named.end());
+  CHECK(named.count("Tenant") == 1);
+  CHECK(named["Tenant"] == "north");
+  const http::RawRequest unnamed = codec.MakeForwarded(request, {true, nullptr});
+  CHECK(unnamed.find("Authorization") == unnamed.end());
+  CHECK(unnamed.find("Tenant") == unnamed.end());
+}
+
+TEST_CASE("without tenants the fields of a caller are forwarded as they came") {
+  http::RawRequest request = SampleRequest();
+  request.insert(bhttp::field::authorization, "Basic x");
+  request.insert("Tenant", "its-own");
+  const http::RawRequest forwarded = PlatformCodec().MakeForwarded(request, {});
+  CHECK(forwarded[bhttp::field::authorization] == "Basic x");
+  CHECK(forwarded["Tenant"] == "its-own");
+}
+
 TEST_CASE("a response to another request does not match") {
   http::RawResponse response;
   CHECK(PlatformCodec().Matches(response, RequestId("a")));
