--- a/include/peridotfork/config/settings.h
+++ b/include/peridotfork/config/settings.h
@@ -68,6 +68,14 @@
   std::chrono::milliseconds store_revoke_after{0};
   // Inner addresses of the processes through which all others are discovered.
   std::vector<Address> seeds;
+  // Where this process receives datagrams of the others: the first entry; the inner address if
+  // there is none.
+  std::vector<Address> peers_addresses;
+  const Address& peers_address() const {
+    return peers_addresses.empty() ? inner_address : peers_addresses.front();
+  }
+  // Number of requests by which the quota of a tenant may be exceeded in any window.
+  double quota_slack = 0;
   std::uint32_t max_in_flight = 0;
   // Memory in MiB that this process may use.
   std::uint32_t memory_mib = 256;
--- a/include/peridotfork/gateway/gateway.h
+++ b/include/peridotfork/gateway/gateway.h
@@ -20,10 +20,11 @@
 #include "peridotfork/gateway/request_runner.h"
 #include "peridotfork/http/router.h"
 #include "peridotfork/http/server.h"
+#include "peridotfork/membership/fleet_link.h"
 #include "peridotfork/metrics/metrics.h"
 #include "peridotfork/program/daemon.h"
+#include "peridotfork/tenants/fleet_quotas.h"
 #include "peridotfork/transport/message_table.h"
-#include "peridotfork/transport/peer_bus.h"
 #include "peridotfork/upstream/connection_pool.h"
 
 namespace peridotfork {
@@ -71,7 +72,8 @@
   void AnswerReady(const http::Request& request, const http::Responder& respond);
   void AnswerMetrics(const http::Request& request, const http::Responder& respond);
 
-  void StartPeers();
+  // Looks for the other gateways, if the settings name seeds.
+  void JoinFleet();
   void Accept();
   void OpenSession(Tcp::socket socket);
   void OnDirectory(const FleetDirectory& directory);
@@ -90,6 +92,10 @@
   CataloguePtr catalogue() const;
   void OnPeerMessage(const protocol::Envelope& envelope);
   void OnTargetLoss(const protocol::Envelope& envelope, const protocol::TargetLossNotice& notice);
+  void OnQuotaUsage(const protocol::Envelope& envelope, const protocol::QuotaUsage& usage);
+  void OnQuotaBalance(const protocol::Envelope& envelope, const protocol::QuotaBalance& balance);
+  // Reports admitted requests to the owners of their quotas a short time from now.
+  void ScheduleQuotaFlush();
   void Publish(const protocol::TargetLossNotice& notice);
   // False if a graceful shutdown may end the process before the request: at its deadline, or, for
   // an idempotent request, at the objective of its route.
@@ -107,7 +113,10 @@
   RequestLog request_log_;
   TargetTable targets_;
   ConnectionPool connections_;
-  PeerBus peers_;
+  FleetLink fleet_;
+  FleetQuotas quotas_;
+  boost::intrusive_ptr<PeriodicTask> quota_task_;
+  std::atomic<bool> quota_flush_pending_ = false;
   CrashGuard guard_;
   GatewayContext runner_context_;
   StoreFollower follower_;
--- a/include/peridotfork/protocol/message.h
+++ b/include/peridotfork/protocol/message.h
@@ -11,6 +11,7 @@
 #include "peridotfork/core/error.h"
 #include "peridotfork/core/ids.h"
 #include "peridotfork/core/units.h"
+#include "peridotfork/tenants/tenant_id.h"
 
 // The messages exchanged between the processes of the system. Each struct lists its
 // fields by name and member pointer in kFields, from which the codec encodes and
@@ -410,6 +411,94 @@
                       MakeField("group", &TargetLossNotice::group));
 };
 
+// What one gateway says of a member of the fleet. Names on the wire are short, since a datagram
+// holds several of these.
+enum class MemberState { kAlive, kSuspect, kDead, kLeft };
+
+struct MemberUpdate {
+  HostId host;
+  Incarnation incarnation;
+  Address address;
+  DataCentreId data_centre;
+  MemberState state = MemberState::kAlive;
+  // Raised by the member itself when it refutes a suspicion.
+  std::uint32_t refutations = 0;
+
+  static constexpr auto kFields = std::make_tuple(MakeField("h", &MemberUpdate::host),
+                                                  MakeField("i", &MemberUpdate::incarnation),
+                                                  MakeField("a", &MemberUpdate::address),
+                                                  MakeField("d", &MemberUpdate::data_centre),
+                                                  MakeField("s", &MemberUpdate::state),
+                                                  MakeField("r", &MemberUpdate::refutations));
+};
+
+// Asks a member to acknowledge. If `target` is not empty, the receiver is to probe that address on
+// behalf of the sender. The first update is about the sender.
+struct MemberProbe {
+  std::uint64_t number = 0;
+  Address target;
+  std::vector<MemberUpdate> updates;
+
+  static constexpr const char* kName = "member_probe";
+  static constexpr auto kFields = std::make_tuple(MakeField("n", &MemberProbe::number),
+                                                  MakeField("t", &MemberProbe::target),
+                                                  MakeField("u", &MemberProbe::updates));
+};
+
+struct MemberAck {
+  std::uint64_t number = 0;
+  std::vector<MemberUpdate> updates;
+
+  static constexpr const char* kName = "member_ack";
+  static constexpr auto kFields =
+      std::make_tuple(MakeField("n", &MemberAck::number), MakeField("u", &MemberAck::updates));
+};
+
+// Requests of one tenant that a gateway has admitted since its start, without the `baseline` that
+// it had admitted when it first reported to this owner.
+struct TenantUsage {
+  TenantId tenant;
+  std::uint64_t baseline = 0;
+  std::uint64_t total = 0;
+
+  static constexpr auto kFields = std::make_tuple(MakeField("t", &TenantUsage::tenant),
+                                                  MakeField("b", &TenantUsage::baseline),
+                                                  MakeField("n", &TenantUsage::total));
+};
+
+// Reports usage to an owner of the quotas of the tenants.
+struct QuotaUsage {
+  std::vector<TenantUsage> tenants;
+
+  static constexpr const char* kName = "quota_usage";
+  static constexpr auto kFields = std::make_tuple(MakeField("u", &QuotaUsage::tenants));
+};
+
+// What is left of a quota after the total reported by the receiver was counted.
+struct TenantBalance {
+  TenantId tenant;
+  std::uint64_t total = 0;
+  double balance = 0;
+  // Number of gateways that have lately reported usage of the tenant.
+  std::uint32_t active = 0;
+  // Requests per second that all gateways have lately reported.
+  double usage_rate = 0;
+
+  static constexpr auto kFields = std::make_tuple(MakeField("t", &TenantBalance::tenant),
+                                                  MakeField("n", &TenantBalance::total),
+                                                  MakeField("b", &TenantBalance::balance),
+                                                  MakeField("a", &TenantBalance::active),
+                                                  MakeField("u", &TenantBalance::usage_rate));
+};
+
+// Reply to a QuotaUsage. Also sent to all gateways while little of a quota is left.
+struct QuotaBalance {
+  std::vector<TenantBalance> tenants;
+
+  static constexpr const char* kName = "quota_balance";
+  static constexpr auto kFields = std::make_tuple(MakeField("b", &QuotaBalance::tenants));
+};
+
 using Message = std::variant<LocalHello,
                              Heartbeat,
                              LeaseRequest,
@@ -427,7 +516,11 @@
                              QuarantineNotice,
                              BookingForward,
                              BookingOutcome,
-                             TargetLossNotice>;
+                             TargetLossNotice,
+                             MemberProbe,
+                             MemberAck,
+                             QuotaUsage,
+                             QuotaBalance>;
 
 // A message with its sender. `to_incarnation` is the only incarnation of the
 // receiver that may handle the message, or zero for any.
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -138,8 +138,15 @@
               "store can't be reached; 0 for no such limit.",
               {0, 60'000}),
           MakeKey<S, &S::seeds>("peers", "seeds", "",
-                                "Inner addresses of a few gateways, optionally including this one, "
-                                "through which all gateways discover each other."),
+                                "Addresses for peers of a few gateways, optionally including this "
+                                "one, through which all gateways discover each other."),
+          MakeKey<S, &S::peers_addresses>("peers", "address", "",
+                                          "Address for UDP datagrams of the other gateways; "
+                                          "[host] address if none is given."),
+          MakeKey<S, &S::quota_slack>("quotas", "slack", "0",
+                                      "Requests by which the quota of a tenant may be exceeded in "
+                                      "any window; four tenths are added to its burst.",
+                                      {0, 10'000}),
       });
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -27,7 +27,8 @@
 constexpr std::chrono::milliseconds kRetryAfterDraining{10};
 // Interval at which connections that have become idle since are closed.
 constexpr std::chrono::milliseconds kCloseIdleInterval{500};
-// Delay before connecting to peers, so that callers are served first.
+// Delay before looking for the other gateways, so that callers are served first. Quotas need the
+// others at once.
 constexpr std::chrono::seconds kPeerConnectDelay{3};
 // A host has its first listing of the store this long after its start, unless the store is away.
 constexpr std::chrono::milliseconds kFirstListing{50};
@@ -51,6 +52,14 @@
 // Retry-After of such a refusal: one call to the store ends the state, and other hosts may serve.
 constexpr std::chrono::milliseconds kRetryAfterStaleKeys{100};
 
+// Status of a request beyond the quota of its tenant.
+constexpr unsigned kTooManyRequests = 429;
+// Admitted requests are reported to the owners of their quotas after this time, so that several
+// share a message.
+constexpr std::chrono::milliseconds kQuotaFlushDelay{5};
+// Interval at which reports that were lost are sent again.
+constexpr std::chrono::milliseconds kQuotaInterval{100};
+
 // Part of the memory of the process that is for the answers of targets.
 constexpr std::uint64_t kAnswerMemoryDivisor = 16;
 
@@ -64,8 +73,10 @@
 
 }  // namespace
 
-const MessageTable<Gateway> Gateway::kMessages =
-    MessageTable<Gateway>().On<&Gateway::OnTargetLoss>();
+const MessageTable<Gateway> Gateway::kMessages = MessageTable<Gateway>()
+                                                     .On<&Gateway::OnTargetLoss>()
+                                                     .On<&Gateway::OnQuotaUsage>()
+                                                     .On<&Gateway::OnQuotaBalance>();
 
 Gateway::Gateway(const DaemonContext& context,
                  const GatewaySettings& settings,
@@ -76,14 +87,18 @@
       request_log_(metrics_, context.log),
       targets_(context.clock, context.log, settings.id, settings.data_centre),
       connections_(context.pool, context.clock, AnswerMemoryOf(settings)),
-      peers_(
+      fleet_(
           context.pool,
+          context.clock,
+          context.log,
           {settings.id, Role::kGateway, context.incarnation},
-          [this](const protocol::Envelope& envelope) { OnPeerMessage(envelope); },
-          [this](const Error& error) {
-            context_.log.Warning("A message from a peer was refused.",
-                                 {{"error", ToString(error)}});
-          }),
+          settings.data_centre,
+          [this](const protocol::Envelope& envelope, const Address&) { OnPeerMessage(envelope); }),
+      quotas_(context.clock,
+              {settings.id, Role::kGateway, context.incarnation},
+              fleet_,
+              fleet_,
+              settings.quota_slack),
       guard_(context.clock,
              context.log,
              {settings.id, Role::kGateway, context.incarnation},
@@ -130,17 +145,24 @@
   connections_.Start();
   follower_.Start();
   if (!settings_.seeds.empty()) {
-    context_.pool.After(kPeerConnectDelay, [this] { StartPeers(); });
+    if (const Result<void> opened = fleet_.Open(settings_.peers_address()); !opened.has_value()) {
+      // Each host can decide alone.
+      context_.log.Error("Listening to the other gateways failed.",
+                         {{"error", ToString(opened.error())}});
+    }
+    context_.pool.After(kPeerConnectDelay, [this] { JoinFleet(); });
   }
+  quota_task_ = PeriodicTask::Start(context_.pool, kQuotaInterval, [this] {
+    if (quotas_.enabled()) {
+      quotas_.Flush();
+    }
+  });
   return boost::outcome_v2::success();
 }
 
-void Gateway::StartPeers() {
-  const Result<void> started = peers_.Start(settings_.inner_address, settings_.seeds);
-  if (started.has_value()) {
-    context_.log.Info("Connecting to peers.", {{"seeds", std::to_string(settings_.seeds.size())}});
-  } else {
-    context_.log.Error("Connecting to peers failed.", {{"error", ToString(started.error())}});
+void Gateway::JoinFleet() {
+  if (!settings_.seeds.empty()) {
+    fleet_.Join(settings_.seeds);
   }
 }
 
@@ -195,6 +217,7 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(timeout * kMaxDrainAcceptShare));
   const auto final_answers = std::max(timeout - kFinalAnswerMargin, accept_period);
   final_answers_at_ = context_.clock.now() + final_answers;
+  fleet_.Leave();
   draining_ = true;
   context_.pool.After(accept_period, [this] {
     asio::dispatch(acceptor_.get_executor(), [this] {
@@ -245,7 +268,8 @@
 }
 
 void Gateway::Close() {
-  peers_.Close();
+  quota_task_->Cancel();
+  fleet_.Close();
   follower_.Stop();
   connections_.Stop();
   status_server_.Stop();
@@ -259,7 +283,11 @@
     const RankedLock lock(catalogue_mutex_);
     std::swap(catalogue_, before);
   }
-  if (before != directory.catalogue()) {
+  if (before != directory.catalogue() && directory.catalogue() != nullptr) {
+    quotas_.Update(*directory.catalogue());
+    if (quotas_.enabled()) {
+      JoinFleet();
+    }
     for (const std::string& digest : directory.catalogue()->duplicate_keys()) {
       context_.log.Warning("Several tenants hold the same API key; it belongs to the first.",
                            {{"key_digest", digest}});
@@ -326,6 +354,16 @@
                             "too few services of the route have targets that accept requests"),
                   wait);
   }
+  if (routed.identity.tenant != nullptr) {
+    if (const auto wait = quotas_.Admit(routed.identity.tenant->id)) {
+      return refuse(
+          kTooManyRequests,
+          MakeError(ErrorKind::kCallerLimit, "tenant " + routed.identity.tenant->id.value(),
+                    "the tenant has used up its quota"),
+          std::chrono::ceil<std::chrono::milliseconds>(*wait));
+    }
+    ScheduleQuotaFlush();
+  }
   routed.message = std::move(request);
   ++in_flight_;
   return RequestRunnerPtr(new RequestRunner(runner_context_, std::move(routed), std::move(done),
@@ -371,10 +409,31 @@
   guard_.OnNotice(notice);
 }
 
+void Gateway::OnQuotaUsage(const protocol::Envelope& envelope, const protocol::QuotaUsage& usage) {
+  quotas_.OnUsage(envelope.from, envelope.reply_to, usage);
+}
+
+void Gateway::OnQuotaBalance(const protocol::Envelope& envelope,
+                             const protocol::QuotaBalance& balance) {
+  quotas_.OnBalance(envelope.from, balance);
+}
+
+void Gateway::ScheduleQuotaFlush() {
+  if (!quotas_.enabled() || quota_flush_pending_.exchange(true)) {
+    return;
+  }
+  context_.pool.After(kQuotaFlushDelay, [this] {
+    quota_flush_pending_ = false;
+    quotas_.Flush();
+  });
+}
+
 void Gateway::Publish(const protocol::TargetLossNotice& notice) {
-  if (const Result<void> sent = peers_.Publish(notice); !sent.has_value()) {
-    context_.log.Warning("Sending a target loss notice to peers failed.",
-                         {{"error", ToString(sent.error())}});
+  const FleetMember self = fleet_.self();
+  for (const FleetMember& member : fleet_.Members()) {
+    if (member != self) {
+      fleet_.Send(member.address, notice);
+    }
   }
 }
 
--- a/src/protocol/codec.cc
+++ b/src/protocol/codec.cc
@@ -55,6 +55,8 @@
 template <>
 constexpr ErrorKind kLastValue<ErrorKind> = ErrorKind::kInternal;
 template <>
+constexpr MemberState kLastValue<MemberState> = MemberState::kLeft;
+template <>
 constexpr TargetState kLastValue<TargetState> = TargetState::kSuspect;
 
 // Field lists of the id structs of the core. They are defined here so that the core
