--- a/include/peridotfork/gateway/caller_session.h
+++ b/include/peridotfork/gateway/caller_session.h
@@ -74,7 +74,12 @@
   boost::intrusive_ptr<CallerSession> Self() { return {this}; }
   void WaitForRequest();
   void OnFirstBytes(const ErrorCode& error, std::size_t count);
-  void ReadHeader();
+  // Reads bytes until the buffer holds a whole head, and checks how its request is framed.
+  void ReadHead();
+  void OnHeadBytes(const ErrorCode& error, std::size_t count);
+  void ParseHead();
+  // Answers a request that can't be read, and closes the connection.
+  void RefuseMalformed(unsigned status, const Error& error);
   void OnHeader(const ErrorCode& error);
   void ReadBody();
   void OnBody(const ErrorCode& error);
@@ -95,6 +100,9 @@
   // Accessed only on the strand of the stream.
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
+  // The header fields of a chunked request before its trailer is added to them.
+  std::optional<boost::beast::http::request_header<>> chunked_header_;
+  bool is_head_request_ = false;
   std::optional<http::RawResponse> response_;
   RequestRunnerPtr runner_;
   BootTime request_start_;
--- a/include/peridotfork/gateway/crash_guard.h
+++ b/include/peridotfork/gateway/crash_guard.h
@@ -60,8 +60,9 @@
   bool TryAcquireCheck();
 
   // Records that a target was found down after it had lost an attempt, and notifies the other
-  // hosts. `loss` contains the times at which the attempt was sent and its loss was noticed.
-  void OnTargetDown(std::uint64_t fingerprint, const TargetLoss& loss);
+  // hosts. `loss` contains the times at which the attempt was sent and its loss was noticed. A
+  // request that is not `repeatable` is lost once only, and is quarantined for that loss.
+  void OnTargetDown(std::uint64_t fingerprint, const TargetLoss& loss, bool repeatable);
 
   // Records that a target answered an attempt of the request.
   void OnAnswered(std::uint64_t fingerprint, GroupIndex group);
--- a/include/peridotfork/gateway/request_runner.h
+++ b/include/peridotfork/gateway/request_runner.h
@@ -96,7 +96,6 @@
   void CheckLostTarget(std::size_t shard, const Attempt& attempt);
   std::uint64_t Fingerprint();
   AttemptResult ProcessAnswer(std::size_t shard, Attempt& attempt, UpstreamAnswer answer);
-  bool IsUsable(const UpstreamAnswer& answer) const;
   void ArmTimer();
   void Conclude(FanOutOutcome outcome);
   http::RawResponse MakeResponse(FanOutOutcome outcome);
--- a/src/gateway/caller_session.cc
+++ b/src/gateway/caller_session.cc
@@ -9,10 +9,12 @@
 #include <cerrno>
 #include <limits>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "peridotfork/gateway/request_runner.h"
 #include "peridotfork/http/client.h"
+#include "peridotfork/http/framing.h"
 
 namespace peridotfork {
 namespace {
@@ -30,6 +32,11 @@
 // Time limit for reading the body of a request, as a multiple of the limit for its header.
 constexpr int kBodyTimeFactor = 3;
 
+std::string_view View(const beast::flat_buffer& buffer) {
+  const auto bytes = buffer.cdata();
+  return {static_cast<const char*>(bytes.data()), bytes.size()};
+}
+
 }  // namespace
 
 CallerSession::CallerSession(Tcp::socket socket,
@@ -66,6 +73,7 @@
 
 void CallerSession::WaitForRequest() {
   busy_ = false;
+  is_head_request_ = false;
   const IngressLimits limits = sink_.limits();
   parser_.emplace();
   parser_->header_limit(static_cast<std::uint32_t>(std::min<std::uint64_t>(
@@ -76,7 +84,8 @@
   if (buffer_.size() > 0) {
     busy_ = true;
     request_start_ = sink_.clock().now();
-    ReadHeader();
+    stream_.expires_after(limits.header_timeout);
+    ReadHead();
     return;
   }
   stream_.expires_after(limits.idle_timeout);
@@ -98,11 +107,52 @@
     request_start_ = accepted_;
   }
   first_request_ = false;
-  ReadHeader();
+  stream_.expires_after(sink_.limits().header_timeout);
+  ReadHead();
 }
 
-void CallerSession::ReadHeader() {
-  stream_.expires_after(sink_.limits().header_timeout);
+void CallerSession::ReadHead() {
+  std::string_view bytes = View(buffer_);
+  // Empty lines before a request are ignored.
+  while (bytes.starts_with("\r\n")) {
+    buffer_.consume(2);
+    bytes.remove_prefix(2);
+  }
+  const std::size_t size = http::HeadSize(bytes);
+  if (size > 0) {
+    const Result<http::RequestFraming> framing = http::DecideRequestFraming(bytes.substr(0, size));
+    if (framing.has_value()) {
+      ParseHead();
+    } else {
+      RefuseMalformed(400, framing.error());
+    }
+  } else if (http::HasBareLineEnd(bytes)) {
+    RefuseMalformed(400, MakeError(ErrorKind::kMalformed, "request", "a bare line end in a head"));
+  } else if (bytes.size() > sink_.limits().max_header.value()) {
+    RefuseMalformed(431, MakeError(ErrorKind::kTooLarge, "header", "the head is too large"));
+  } else {
+    stream_.async_read_some(
+        buffer_.prepare(std::min(kReadSize, buffer_.max_size() - buffer_.size())),
+        [self = Self()](const ErrorCode& error, std::size_t count) {
+          self->OnHeadBytes(error, count);
+        });
+  }
+}
+
+void CallerSession::OnHeadBytes(const ErrorCode& error, std::size_t count) {
+  if (error || closed_) {
+    Close();
+    return;
+  }
+  buffer_.commit(count);
+  ReadHead();
+}
+
+void CallerSession::RefuseMalformed(unsigned status, const Error& error) {
+  Write(sink_.Refuse(status, error), false);
+}
+
+void CallerSession::ParseHead() {
   bhttp::async_read_header(
       stream_, buffer_, *parser_,
       [self = Self()](const ErrorCode& error, std::size_t) { self->OnHeader(error); });
@@ -111,7 +161,14 @@
 void CallerSession::OnHeader(const ErrorCode& error) {
   if (error) {
     OnReadError(error);
-  } else if (parser_->is_done()) {
+    return;
+  }
+  is_head_request_ = parser_->get().method() == bhttp::verb::head;
+  chunked_header_.reset();
+  if (parser_->chunked()) {
+    chunked_header_ = parser_->get().base();
+  }
+  if (parser_->is_done()) {
     DispatchRequest();
   } else if (std::optional<http::RawResponse> refusal = sink_.RefuseHead(parser_->get())) {
     Write(std::move(*refusal), false);
@@ -162,6 +219,11 @@
 
 void CallerSession::DispatchRequest() {
   http::RawRequest request = parser_->release();
+  if (chunked_header_) {
+    // The fields of a trailer are those of the body, not of the request.
+    request.base() = std::move(*chunked_header_);
+    chunked_header_.reset();
+  }
   keep_alive_ = request.keep_alive();
   stream_.expires_never();
   RequestRunnerPtr runner = sink_.Handle(
@@ -206,6 +268,10 @@
   keep_alive_ = keep_alive && !sink_.draining();
   response_.emplace(std::move(response));
   response_->keep_alive(keep_alive_);
+  if (is_head_request_) {
+    // The length that was set stays.
+    response_->body().clear();
+  }
   stream_.expires_after(kWriteTimeout);
   bhttp::async_write(stream_, *response_, [self = Self()](const ErrorCode& error, std::size_t) {
     self->OnWritten(error);
--- a/src/gateway/crash_guard.cc
+++ b/src/gateway/crash_guard.cc
@@ -55,7 +55,7 @@
   return true;
 }
 
-void CrashGuard::OnTargetDown(std::uint64_t fingerprint, const TargetLoss& loss) {
+void CrashGuard::OnTargetDown(std::uint64_t fingerprint, const TargetLoss& loss, bool repeatable) {
   protocol::TargetLossNotice notice{self_, 0, fingerprint, loss.group};
   bool quarantined = false;
   {
@@ -63,6 +63,10 @@
     notice.number = ++last_number_;
     RememberNotice(notice);
     quarantined = AddLoss(fingerprint, loss);
+    if (!repeatable) {
+      quarantine_.OnNotice(CallerId(), fingerprint, options_.quarantine.duration);
+      quarantined = true;
+    }
   }
   LogLoss(notice, quarantined);
   publish_(notice);
--- a/src/gateway/request_runner.cc
+++ b/src/gateway/request_runner.cc
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <utility>
 
+#include "peridotfork/fanout/answer_class.h"
 #include "peridotfork/fanout/top_records.h"
 #include "peridotfork/http/client.h"
 
@@ -229,13 +230,14 @@
   loss.group = GroupIndex(static_cast<std::uint32_t>(index));
   loss.sent = attempt.sent;
   loss.noticed = now;
-  check->Connect(kCheckTimeout, [&guard = context_.guard, check, fingerprint = Fingerprint(),
-                                 loss](const Result<void>& connected) {
-    check->Close();
-    if (!connected.has_value()) {
-      guard.OnTargetDown(fingerprint, loss);
-    }
-  });
+  check->Connect(kCheckTimeout,
+                 [&guard = context_.guard, check, fingerprint = Fingerprint(), loss,
+                  repeatable = request_.route->idempotent()](const Result<void>& connected) {
+                   check->Close();
+                   if (!connected.has_value()) {
+                     guard.OnTargetDown(fingerprint, loss, repeatable);
+                   }
+                 });
 }
 
 std::uint64_t RequestRunner::Fingerprint() {
@@ -249,7 +251,13 @@
                                            Attempt& attempt,
                                            UpstreamAnswer answer) {
   const std::chrono::nanoseconds time = context_.clock.now() - attempt.sent;
-  const bool usable = IsUsable(answer);
+  const AnswerClass answer_class = ClassifyAnswer({.status = answer.message.result_int(),
+                                                   .gather = request_.route->gather.has_value(),
+                                                   .idempotent = request_.route->idempotent(),
+                                                   .not_run = answer.not_run,
+                                                   .has_signature = !answer.signature.empty(),
+                                                   .transformed = answer.transformed});
+  const bool usable = answer_class == AnswerClass::kUsable;
   const AttemptOutcome end = usable               ? AttemptOutcome::kAnswered
                              : answer.misdirected ? AttemptOutcome::kMisdirected
                              : answer.not_run     ? AttemptOutcome::kShed
@@ -272,21 +280,10 @@
   context_.log.OnAttempt(request_.ingress.id, AttemptOutcomeName(end), request_.services[index],
                          attempt.target->id(), time,
                          "status " + std::to_string(answer.message.result_int()));
-  const bool not_run = answer.not_run;
-  if (!not_run && !answer.signature.empty() && !answer.transformed) {
+  if (answer_class == AnswerClass::kFailure) {
     failure_ = std::move(answer);
   }
-  return not_run ? AttemptResult::kNotRun : AttemptResult::kMayHaveRun;
-}
-
-bool RequestRunner::IsUsable(const UpstreamAnswer& answer) const {
-  if (answer.not_run || answer.transformed || answer.signature.empty()) {
-    return false;
-  }
-  const unsigned status = answer.message.result_int();
-  const bool success = status >= 200 && status < 300;
-  // Redirects and client errors (3xx, 4xx) are final responses; server errors (5xx) may be retried.
-  return success || (!request_.route->gather && status >= 300 && status < 500);
+  return answer_class == AnswerClass::kNotRun ? AttemptResult::kNotRun : AttemptResult::kMayHaveRun;
 }
 
 void RequestRunner::ArmTimer() {
--- a/src/platform/message_codec.cc
+++ b/src/platform/message_codec.cc
@@ -101,11 +101,20 @@
   }
 }
 
+// Whether the field reaches the receiver even if a caller lists it in its Connection field: without
+// it a request would lose its identity or its time limit.
+bool IsAlwaysForwarded(boost::beast::string_view name) {
+  return boost::beast::iequals(name, kRequestId) || boost::beast::iequals(name, kTimeout) ||
+         boost::beast::iequals(name, "Host");
+}
+
 // Copies the fields that may be forwarded over another connection.
 void CopyEndToEnd(const bhttp::fields& from, bhttp::fields& to) {
   bhttp::token_list named(from[bhttp::field::connection]);
   for (const auto& field : from) {
-    if (!IsHopByHop(field.name()) && !named.exists(field.name_string())) {
+    const bool dropped =
+        named.exists(field.name_string()) && !IsAlwaysForwarded(field.name_string());
+    if (!IsHopByHop(field.name()) && !dropped) {
       to.insert(field.name(), field.name_string(), field.value());
     }
   }
--- a/src/upstream/connection.cc
+++ b/src/upstream/connection.cc
@@ -175,6 +175,8 @@
 void Connection::BeginAnswer() {
   parser_.emplace();
   parser_->header_limit(kMaxHeader);
+  // The length in an answer to HEAD is that of a body that is not sent.
+  parser_->skip(request_.method() == bhttp::verb::head);
   parser_->body_limit(exchange_->max_body.value());
 }
 
--- a/test/gateway/crash_guard_test.cc
+++ b/test/gateway/crash_guard_test.cc
@@ -52,7 +52,7 @@
     loss.noticed = clock.now();
     // The clock does not advance between the loss and the report that the target is down, so the
     // next attempt is sent no later than that report.
-    guards[host]->OnTargetDown(fingerprint, loss);
+    guards[host]->OnTargetDown(fingerprint, loss, /*repeatable=*/true);
     DeliverAll();
   }
 
@@ -111,7 +111,7 @@
   loss.noticed = fleet.clock.now();
   for (std::uint32_t i = 0; i < 10; ++i) {
     loss.group = GroupIndex(i);
-    fleet.guards[0]->OnTargetDown(1, loss);
+    fleet.guards[0]->OnTargetDown(1, loss, /*repeatable=*/true);
     fleet.clock.Advance(milliseconds(1));
   }
   CHECK(fleet.guards[0]->Remaining(1) == kNotQuarantined);
