Account for the memory that callers make the process hold, and make room for ordinary callers

Cause: the reservation of an answer ended when the answer was encoded; what waited to be written, the kernel's send buffers and the bodies of all callers were counted nowhere, and a failed accept was repeated at once.

--- a/include/peridotfork/config/settings.h
+++ b/include/peridotfork/config/settings.h
@@ -77,6 +77,8 @@
   // Number of requests by which the quota of a tenant may be exceeded in any window.
   double quota_slack = 0;
   std::uint32_t max_in_flight = 0;
+  // Maximum number of callers' connections; 0 for what the limit of open files allows.
+  std::uint32_t max_connections = 0;
   // Memory in MiB that this process may use.
   std::uint32_t memory_mib = 256;
 };
--- a/include/peridotfork/gateway/caller_session.h
+++ b/include/peridotfork/gateway/caller_session.h
@@ -6,15 +6,19 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <cstddef>
 #include <functional>
 #include <optional>
+#include <vector>
 
 #include "peridotfork/catalogue/catalogue.h"
 #include "peridotfork/core/clock.h"
+#include "peridotfork/gateway/caller_memory.h"
 #include "peridotfork/gateway/message_codec.h"
+#include "peridotfork/gateway/slow_callers.h"
 #include "peridotfork/http/raw_message.h"
 
 namespace peridotfork {
@@ -23,10 +27,16 @@
 class RequestRunner;
 using RequestRunnerPtr = boost::intrusive_ptr<RequestRunner>;
 
+// A response to a caller, with the memory that was reserved for the targets' answers in it.
+struct CallerResponse {
+  http::RawResponse message;
+  std::vector<AnswerMemory::Reservation> memory;
+};
+
 // Interface through which caller sessions pass requests to the gateway. Thread-safe.
 class RequestSink {
  public:
-  using Callback = std::function<void(http::RawResponse)>;
+  using Callback = std::function<void(CallerResponse)>;
 
   virtual ~RequestSink() = default;
 
@@ -42,6 +52,10 @@
   // Builds the error response to a request that could not be read.
   virtual http::RawResponse Refuse(unsigned status, const Error& error) = 0;
 
+  // Builds the response to a request that is refused because callers use too much memory.
+  virtual http::RawResponse RefuseForMemory(const http::RawRequest& head) = 0;
+
+  virtual const boost::intrusive_ptr<CallerMemory>& caller_memory() const = 0;
   virtual IngressLimits limits() const = 0;
   virtual const Clock& clock() const = 0;
 
@@ -67,6 +81,15 @@
 
   bool busy() const { return busy_; }
 
+  // Memory that the session holds and the progress of its caller; holds nothing unless the caller
+  // is to send or to read.
+  CallerProgress Progress() const;
+  // When the session began to wait for its next request.
+  BootTime idle_since() const { return idle_since_; }
+
+  // Closes the connection because its memory or its descriptor is needed.
+  void CloseForRoom();
+
  private:
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
   using ErrorCode = boost::system::error_code;
@@ -82,13 +105,20 @@
   void RefuseMalformed(unsigned status, const Error& error);
   void OnHeader(const ErrorCode& error);
   void ReadBody();
-  void OnBody(const ErrorCode& error);
+  void ReadBodyBytes();
+  void OnBody(const ErrorCode& error, std::size_t count);
+  // Reserves memory for what a chunked body may grow by.
+  bool GrowBodyMemory();
   void OnReadError(const ErrorCode& error);
   void DispatchRequest();
   void WatchForClose();
   void OnReadable(const ErrorCode& error);
-  void Write(http::RawResponse response, bool keep_alive);
-  void OnWritten(const ErrorCode& error);
+  void Write(CallerResponse response, bool keep_alive);
+  void WriteBytes();
+  // Starts to measure the progress of the caller, which has the session hold `size` bytes.
+  void BeginProgress(std::size_t size);
+  void EndProgress();
+  void OnWritten(const ErrorCode& error, std::size_t count);
   void Close();
 
   boost::beast::tcp_stream stream_;
@@ -96,6 +126,11 @@
   const std::function<void(CallerSession&)> on_end_;
   const BootTime accepted_;
   std::atomic<bool> busy_ = false;
+  std::atomic<BootTime> idle_since_;
+  // The progress of the caller; see CallerProgress.
+  std::atomic<std::size_t> held_ = 0;
+  std::atomic<std::size_t> passed_ = 0;
+  std::atomic<BootTime> progress_since_{BootTime()};
 
   // Accessed only on the strand of the stream.
   boost::beast::flat_buffer buffer_;
@@ -104,6 +139,12 @@
   std::optional<boost::beast::http::request_header<>> chunked_header_;
   bool is_head_request_ = false;
   std::optional<http::RawResponse> response_;
+  std::optional<boost::beast::http::response_serializer<boost::beast::http::string_body>>
+      serializer_;
+  // Memory of the request's body, of the response, and of the targets' answers in the response.
+  CallerMemory::Share body_memory_;
+  CallerMemory::Share response_memory_;
+  std::vector<AnswerMemory::Reservation> answer_memory_;
   RequestRunnerPtr runner_;
   BootTime request_start_;
   bool first_request_ = true;
--- a/include/peridotfork/gateway/gateway.h
+++ b/include/peridotfork/gateway/gateway.h
@@ -63,6 +63,10 @@
   RequestRunnerPtr Handle(http::RawRequest request, BootTime start, Callback done) override;
   std::optional<http::RawResponse> RefuseHead(const http::RawRequest& head) override;
   http::RawResponse Refuse(unsigned status, const Error& error) override;
+  http::RawResponse RefuseForMemory(const http::RawRequest& head) override;
+  const boost::intrusive_ptr<CallerMemory>& caller_memory() const override {
+    return caller_memory_;
+  }
   IngressLimits limits() const override;
   const Clock& clock() const override { return context_.clock; }
   bool draining() const override { return draining_; }
@@ -75,6 +79,11 @@
   // Looks for the other gateways, if the settings name seeds.
   void JoinFleet();
   void Accept();
+  void OnAcceptFailed();
+  // Closes the session that has been idle longest. Returns false if there is none.
+  bool CloseOldestIdleSession();
+  // Closes sessions whose callers hold memory and make little progress, if memory is short.
+  void CloseSlowSessions();
   void OpenSession(Tcp::socket socket);
   void OnDirectory(const FleetDirectory& directory);
   std::vector<ServiceId> SelectServices(const Route& route);
@@ -111,6 +120,9 @@
   const GatewayAdapters adapters_;
   MetricRegistry metrics_;
   RequestLog request_log_;
+  const boost::intrusive_ptr<CallerMemory> caller_memory_;
+  boost::intrusive_ptr<PeriodicTask> memory_task_;
+  std::atomic<std::uint64_t> closed_for_room_ = 0;
   TargetTable targets_;
   ConnectionPool connections_;
   FleetLink fleet_;
@@ -130,6 +142,7 @@
   std::atomic<bool> accepting_ = false;
   std::atomic<std::size_t> in_flight_ = 0;
   std::atomic<std::size_t> max_in_flight_;
+  const std::size_t max_sessions_;
   // Number of the next request of a route with several services; see ChooseService().
   std::atomic<std::uint64_t> route_sequence_ = 0;
 
--- a/include/peridotfork/gateway/request_runner.h
+++ b/include/peridotfork/gateway/request_runner.h
@@ -16,6 +16,7 @@
 #include "peridotfork/catalogue/catalogue.h"
 #include "peridotfork/core/clock.h"
 #include "peridotfork/fanout/fan_out.h"
+#include "peridotfork/gateway/caller_session.h"
 #include "peridotfork/gateway/crash_guard.h"
 #include "peridotfork/gateway/message_codec.h"
 #include "peridotfork/gateway/request_log.h"
@@ -55,7 +56,7 @@
 // Lives until all its attempts have ended. Thread-safe.
 class RequestRunner : public boost::intrusive_ref_counter<RequestRunner> {
  public:
-  using Callback = std::function<void(http::RawResponse)>;
+  using Callback = RequestSink::Callback;
 
   // `done` is called once, on a worker, unless the request is cancelled because the caller
   // disconnected. `on_end` is called once when the request has been answered or cancelled.
@@ -98,7 +99,8 @@
   AttemptResult ProcessAnswer(std::size_t shard, Attempt& attempt, UpstreamAnswer answer);
   void ArmTimer();
   void Conclude(FanOutOutcome outcome);
-  http::RawResponse MakeResponse(FanOutOutcome outcome);
+  CallerResponse MakeResponse(FanOutOutcome outcome);
+  CallerResponse EncodeSingle(UpstreamAnswer answer);
   // Lets the open attempts run until `end` at most, then abandons them.
   void AbandonAttempts(BootTime end);
   void LogOutcome(std::string_view outcome, unsigned status);
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -116,6 +116,11 @@
               "Maximum number of requests that run concurrently; further ones are "
               "refused.",
               {1, 1'000'000}),
+          MakeKey<S, &S::max_connections>(
+              "ingress", "max_connections", "0",
+              "Maximum number of connections of callers; beyond it the one that has been idle "
+              "longest is closed. 0 for three quarters of the limit of open files.",
+              {0, 10'000'000}),
           MakeKey<S, &S::memory_mib>("host", "memory_mib", "256",
                                      "Memory in MiB that the process may use; a sixteenth of it is "
                                      "for answers of targets.",
--- a/src/gateway/caller_session.cc
+++ b/src/gateway/caller_session.cc
@@ -27,8 +27,13 @@
 // If the first request arrives within this time after its connection was accepted, the connection
 // was opened for it and the caller has been waiting since: the request starts at the accept time.
 constexpr std::chrono::milliseconds kFirstRequestWindow{100};
-// Time limit for writing a response; the connection is closed when it expires.
+// A connection whose caller takes no byte of a response for so long is closed.
 constexpr std::chrono::seconds kWriteTimeout{10};
+// Size of the kernel's send buffer of a connection. Without a limit the kernel takes several
+// megabytes of an answer that its caller does not read.
+constexpr int kSendBuffer = 128 * 1024;
+// A body is held as it was read, as it is forwarded, and as it is being sent.
+constexpr std::size_t kBodyCopies = 3;
 // Time limit for reading the body of a request, as a multiple of the limit for its header.
 constexpr int kBodyTimeFactor = 3;
 
@@ -45,8 +50,12 @@
     : stream_(std::move(socket)),
       sink_(sink),
       on_end_(std::move(on_end)),
-      accepted_(sink.clock().now()) {
+      accepted_(sink.clock().now()),
+      idle_since_(accepted_),
+      body_memory_(sink.caller_memory()),
+      response_memory_(sink.caller_memory()) {
   beast::error_code ignored;
+  stream_.socket().set_option(asio::socket_base::send_buffer_size(kSendBuffer), ignored);
   stream_.socket().set_option(Tcp::no_delay(true), ignored);
   http::EnableDeadPeerDetection(stream_.socket());
 }
@@ -73,6 +82,7 @@
 
 void CallerSession::WaitForRequest() {
   busy_ = false;
+  idle_since_ = sink_.clock().now();
   is_head_request_ = false;
   const IngressLimits limits = sink_.limits();
   parser_.emplace();
@@ -149,7 +159,7 @@
 }
 
 void CallerSession::RefuseMalformed(unsigned status, const Error& error) {
-  Write(sink_.Refuse(status, error), false);
+  Write({sink_.Refuse(status, error), {}}, false);
 }
 
 void CallerSession::ParseHead() {
@@ -171,13 +181,38 @@
   if (parser_->is_done()) {
     DispatchRequest();
   } else if (std::optional<http::RawResponse> refusal = sink_.RefuseHead(parser_->get())) {
-    Write(std::move(*refusal), false);
+    Write({std::move(*refusal), {}}, false);
   } else {
     ReadBody();
   }
 }
 
+CallerProgress CallerSession::Progress() const {
+  return {held_, passed_, progress_since_};
+}
+
+void CallerSession::BeginProgress(std::size_t size) {
+  passed_ = 0;
+  progress_since_ = sink_.clock().now();
+  held_ = size;
+}
+
+void CallerSession::EndProgress() {
+  held_ = 0;
+}
+
+void CallerSession::CloseForRoom() {
+  asio::dispatch(stream_.get_executor(), [self = Self()] { self->Close(); });
+}
+
 void CallerSession::ReadBody() {
+  const std::uint64_t length =
+      std::min(parser_->content_length().value_or(0), sink_.limits().max_body.value());
+  const std::size_t size = kBodyCopies * static_cast<std::size_t>(length);
+  if (!body_memory_.TrySet(size)) {
+    Write({sink_.RefuseForMemory(parser_->get()), {}}, false);
+    return;
+  }
   if (beast::iequals(parser_->get()[bhttp::field::expect], "100-continue")) {
     // The caller sends the body only after it has received 100 Continue.
     response_.emplace(bhttp::status::continue_, 11);
@@ -191,27 +226,51 @@
     });
     return;
   }
+  BeginProgress(size);
   stream_.expires_after(sink_.limits().header_timeout * kBodyTimeFactor);
-  bhttp::async_read(stream_, buffer_, *parser_,
-                    [self = Self()](const ErrorCode& error, std::size_t) { self->OnBody(error); });
+  ReadBodyBytes();
+}
+
+void CallerSession::ReadBodyBytes() {
+  bhttp::async_read_some(
+      stream_, buffer_, *parser_,
+      [self = Self()](const ErrorCode& error, std::size_t count) { self->OnBody(error, count); });
 }
 
-void CallerSession::OnBody(const ErrorCode& error) {
+void CallerSession::OnBody(const ErrorCode& error, std::size_t count) {
+  passed_ += count;
   if (error) {
+    EndProgress();
     OnReadError(error);
-  } else {
+  } else if (parser_->is_done()) {
+    EndProgress();
+    body_memory_.Set(kBodyCopies * parser_->get().body().size());
     DispatchRequest();
+  } else if (chunked_header_ && !GrowBodyMemory()) {
+    EndProgress();
+    Write({sink_.RefuseForMemory(parser_->get()), {}}, false);
+  } else {
+    ReadBodyBytes();
   }
 }
 
+bool CallerSession::GrowBodyMemory() {
+  // The length of a chunked body is not known before its end.
+  const std::size_t size = kBodyCopies * (parser_->get().body().size() + kReadSize);
+  held_ = size;
+  return body_memory_.TrySet(size);
+}
+
 void CallerSession::OnReadError(const ErrorCode& error) {
   if (error == bhttp::error::body_limit) {
-    Write(sink_.Refuse(413, MakeError(ErrorKind::kTooLarge, "body", error.message())), false);
+    Write({sink_.Refuse(413, MakeError(ErrorKind::kTooLarge, "body", error.message())), {}}, false);
   } else if (error == bhttp::error::header_limit) {
-    Write(sink_.Refuse(431, MakeError(ErrorKind::kTooLarge, "header", error.message())), false);
+    Write({sink_.Refuse(431, MakeError(ErrorKind::kTooLarge, "header", error.message())), {}},
+          false);
   } else if (error != bhttp::error::end_of_stream && error != bhttp::error::partial_message &&
              error.category() == bhttp::make_error_code(bhttp::error::bad_method).category()) {
-    Write(sink_.Refuse(400, MakeError(ErrorKind::kMalformed, "request", error.message())), false);
+    Write({sink_.Refuse(400, MakeError(ErrorKind::kMalformed, "request", error.message())), {}},
+          false);
   } else {
     Close();
   }
@@ -227,7 +286,7 @@
   keep_alive_ = request.keep_alive();
   stream_.expires_never();
   RequestRunnerPtr runner = sink_.Handle(
-      std::move(request), request_start_, [self = Self()](http::RawResponse response) mutable {
+      std::move(request), request_start_, [self = Self()](CallerResponse response) mutable {
         asio::post(self->stream_.get_executor(), [self, response = std::move(response)]() mutable {
           self->Write(std::move(response), self->keep_alive_);
         });
@@ -257,8 +316,9 @@
   }
 }
 
-void CallerSession::Write(http::RawResponse response, bool keep_alive) {
+void CallerSession::Write(CallerResponse response, bool keep_alive) {
   runner_.reset();
+  body_memory_.Set(0);
   if (closed_) {
     return;
   }
@@ -266,20 +326,38 @@
   // Cancels the wait started by WatchForClose().
   stream_.socket().cancel(ignored);
   keep_alive_ = keep_alive && !sink_.draining();
-  response_.emplace(std::move(response));
+  response_.emplace(std::move(response.message));
+  answer_memory_ = std::move(response.memory);
   response_->keep_alive(keep_alive_);
   if (is_head_request_) {
     // The length that was set stays.
     response_->body().clear();
   }
+  response_memory_.Set(response_->body().size());
+  BeginProgress(response_->body().size());
+  serializer_.emplace(*response_);
+  WriteBytes();
+}
+
+void CallerSession::WriteBytes() {
   stream_.expires_after(kWriteTimeout);
-  bhttp::async_write(stream_, *response_, [self = Self()](const ErrorCode& error, std::size_t) {
-    self->OnWritten(error);
-  });
+  bhttp::async_write_some(stream_, *serializer_,
+                          [self = Self()](const ErrorCode& error, std::size_t count) {
+                            self->OnWritten(error, count);
+                          });
 }
 
-void CallerSession::OnWritten(const ErrorCode& error) {
+void CallerSession::OnWritten(const ErrorCode& error, std::size_t count) {
+  passed_ += count;
+  if (!error && !closed_ && !serializer_->is_done()) {
+    WriteBytes();
+    return;
+  }
+  EndProgress();
+  serializer_.reset();
   response_.reset();
+  response_memory_.Set(0);
+  answer_memory_.clear();
   if (error || !keep_alive_) {
     Close();
     return;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,8 +1,11 @@
 #include "peridotfork/gateway/gateway.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/strand.hpp>
+#include <limits>
 #include <string_view>
 #include <utility>
 
@@ -60,6 +63,11 @@
 // Interval at which reports that were lost are sent again.
 constexpr std::chrono::milliseconds kQuotaInterval{100};
 
+// Interval at which slow callers are looked for while memory is short.
+constexpr std::chrono::milliseconds kMemoryInterval{500};
+// Delay after a failed accept, so that a lack of descriptors takes no processor time.
+constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
+
 // Part of the memory of the process that is for the answers of targets.
 constexpr std::uint64_t kAnswerMemoryDivisor = 16;
 
@@ -67,6 +75,26 @@
   return Bytes((std::uint64_t{settings.memory_mib} << 20) / kAnswerMemoryDivisor);
 }
 
+// Part of the memory of the process for what callers make it hold.
+constexpr std::uint64_t kCallerMemoryDivisor = 4;
+
+Bytes CallerMemoryOf(const GatewaySettings& settings) {
+  return Bytes((std::uint64_t{settings.memory_mib} << 20) / kCallerMemoryDivisor);
+}
+
+// Number of callers' connections: what the limit of the process leaves beside targets, the store
+// and the other gateways, or fewer by the settings.
+std::size_t MaxSessions(const GatewaySettings& settings) {
+  constexpr double kCallerShare = 0.75;
+  rlimit limit{};
+  std::size_t most = std::numeric_limits<std::size_t>::max();
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY) {
+    most = static_cast<std::size_t>(kCallerShare * static_cast<double>(limit.rlim_cur));
+  }
+  return settings.max_connections == 0 ? most
+                                       : std::min<std::size_t>(most, settings.max_connections);
+}
+
 std::string_view PathOf(const std::string& target) {
   return std::string_view(target).substr(0, target.find('?'));
 }
@@ -85,6 +113,7 @@
       settings_(settings),
       adapters_(std::move(adapters)),
       request_log_(metrics_, context.log),
+      caller_memory_(new CallerMemory(CallerMemoryOf(settings))),
       targets_(context.clock, context.log, settings.id, settings.data_centre),
       connections_(context.pool, context.clock, AnswerMemoryOf(settings)),
       fleet_(
@@ -115,7 +144,8 @@
       status_server_(context.pool.context(), {}, *this),
       metrics_server_(context.pool.context(), {}, *this),
       acceptor_(asio::make_strand(context.pool.context())),
-      max_in_flight_(settings.max_in_flight) {
+      max_in_flight_(settings.max_in_flight),
+      max_sessions_(MaxSessions(settings)) {
   metrics_.AddGauge("peridotfork_targets", "Targets in the store.",
                     [this] { return static_cast<double>(targets_.size()); });
   metrics_.AddGauge("peridotfork_connections", "Connections to targets.",
@@ -125,6 +155,15 @@
   metrics_.AddGauge(
       "peridotfork_answer_bytes", "Memory that is reserved for answers of targets.",
       [this] { return static_cast<double>(connections_.memory().reserved().value()); });
+  metrics_.AddGauge("peridotfork_caller_bytes", "Memory that callers make this process hold.",
+                    [this] { return static_cast<double>(caller_memory_->used().value()); });
+  metrics_.AddGauge("peridotfork_closed_for_room",
+                    "Connections closed since the start because memory or descriptors were short.",
+                    [this] { return static_cast<double>(closed_for_room_); });
+  metrics_.AddGauge("peridotfork_quota_refused", "Requests refused since the start for a quota.",
+                    [this] { return static_cast<double>(quotas_.refused()); });
+  metrics_.AddGauge("peridotfork_known_gateways", "Gateways that this one believes alive.",
+                    [this] { return static_cast<double>(fleet_.Members().size()); });
   metrics_.AddGauge("peridotfork_requests_in_flight", "Requests without an answer.",
                     [this] { return static_cast<double>(in_flight_); });
   metrics_.AddGauge("peridotfork_store_calls", "Calls to the store since the start.",
@@ -157,6 +196,8 @@
       quotas_.Flush();
     }
   });
+  memory_task_ =
+      PeriodicTask::Start(context_.pool, kMemoryInterval, [this] { CloseSlowSessions(); });
   return boost::outcome_v2::success();
 }
 
@@ -190,24 +231,87 @@
                            if (error == asio::error::operation_aborted || !accepting_) {
                              return;
                            }
-                           if (!error) {
-                             OpenSession(std::move(socket));
+                           if (error) {
+                             OnAcceptFailed();
+                             return;
                            }
+                           OpenSession(std::move(socket));
                            Accept();
                          });
 }
 
+void Gateway::OnAcceptFailed() {
+  // Descriptors or memory are used up, which does not end at once.
+  CloseOldestIdleSession();
+  context_.pool.After(kAcceptRetryDelay, [this] {
+    if (accepting_) {
+      Accept();
+    }
+  });
+}
+
+bool Gateway::CloseOldestIdleSession() {
+  CallerSessionPtr oldest;
+  for (const CallerSessionPtr& session : Sessions()) {
+    if (!session->busy() && (oldest == nullptr || session->idle_since() < oldest->idle_since())) {
+      oldest = session;
+    }
+  }
+  if (oldest == nullptr) {
+    return false;
+  }
+  ++closed_for_room_;
+  oldest->CloseIfIdle();
+  return true;
+}
+
+void Gateway::CloseSlowSessions() {
+  if (!caller_memory_->full() && connections_.memory().waiting() == 0) {
+    return;
+  }
+  const std::set<CallerSessionPtr> all = Sessions();
+  const std::vector<CallerSessionPtr> sessions(all.begin(), all.end());
+  std::vector<CallerProgress> progress;
+  progress.reserve(sessions.size());
+  for (const CallerSessionPtr& session : sessions) {
+    progress.push_back(session->Progress());
+  }
+  const std::vector<std::size_t> slow = ChooseSlowCallers(progress, context_.clock.now());
+  for (const std::size_t index : slow) {
+    sessions[index]->CloseForRoom();
+  }
+  closed_for_room_ += slow.size();
+  if (!slow.empty()) {
+    context_.log.Warning("Connections of slow callers are closed, since memory is short.",
+                         {{"closed", std::to_string(slow.size())},
+                          {"caller_bytes", std::to_string(caller_memory_->used().value())},
+                          {"waiting_answers", std::to_string(connections_.memory().waiting())}});
+  }
+}
+
+http::RawResponse Gateway::RefuseForMemory(const http::RawRequest& head) {
+  const Error error =
+      MakeError(ErrorKind::kShed, "gateway", "the memory for callers' requests is used up");
+  request_log_.OnRefused(adapters_.codec->DecodeRequest(head).id, 503, error);
+  return adapters_.codec->EncodeError(503, error, kRetryAfterOverload);
+}
+
 void Gateway::OpenSession(Tcp::socket socket) {
   const CallerSessionPtr session(
       new CallerSession(std::move(socket), *this, [this](CallerSession& ended) {
         const RankedLock lock(sessions_mutex_);
         sessions_.erase(CallerSessionPtr(&ended));
       }));
+  std::size_t count = 0;
   {
     const RankedLock lock(sessions_mutex_);
     sessions_.insert(session);
+    count = sessions_.size();
   }
   session->Run();
+  if (count > max_sessions_ && !CloseOldestIdleSession()) {
+    session->CloseForRoom();
+  }
 }
 
 void Gateway::BeginDrain() {
@@ -269,6 +373,7 @@
 
 void Gateway::Close() {
   quota_task_->Cancel();
+  memory_task_->Cancel();
   fleet_.Close();
   follower_.Stop();
   connections_.Stop();
@@ -303,7 +408,7 @@
   const auto refuse = [&](unsigned status, const Error& error,
                           std::optional<std::chrono::milliseconds> retry_after) {
     request_log_.OnRefused(id, status, error);
-    done(adapters_.codec->EncodeError(status, error, retry_after));
+    done({adapters_.codec->EncodeError(status, error, retry_after), {}});
     return nullptr;
   };
   if (routed.catalogue == nullptr) {
@@ -343,6 +448,10 @@
                             "the request is quarantined because it crashes targets"),
                   std::chrono::ceil<std::chrono::milliseconds>(wait));
   }
+  if (caller_memory_->full()) {
+    return refuse(503, MakeError(ErrorKind::kShed, "gateway", "callers use too much memory"),
+                  kRetryAfterOverload);
+  }
   if (in_flight_ >= max_in_flight_) {
     return refuse(503, MakeError(ErrorKind::kShed, "gateway", "too many requests in flight"),
                   kRetryAfterOverload);
--- a/src/gateway/request_runner.cc
+++ b/src/gateway/request_runner.cc
@@ -305,15 +305,15 @@
 void RequestRunner::Conclude(FanOutOutcome outcome) {
   concluded_ = true;
   timer_.cancel();
-  http::RawResponse response = MakeResponse(outcome);
-  LogOutcome(FanOutOutcomeName(outcome), response.result_int());
+  CallerResponse response = MakeResponse(outcome);
+  LogOutcome(FanOutOutcomeName(outcome), response.message.result_int());
   AbandonAttempts(context_.clock.now() +
                   (fan_out_.plan().idempotent ? kAbandonedAttemptGrace : kNonIdempotentGrace));
   std::exchange(done_, nullptr)(std::move(response));
   on_end_();
 }
 
-http::RawResponse RequestRunner::MakeResponse(FanOutOutcome outcome) {
+CallerResponse RequestRunner::MakeResponse(FanOutOutcome outcome) {
   const Route& route = *request_.route;
   const std::string where = "route " + route.id.value();
   switch (outcome) {
@@ -321,27 +321,31 @@
     case FanOutOutcome::kPartial:
       break;
     case FanOutOutcome::kRefused:
-      return context_.codec.EncodeError(
-          503,
-          MakeError(ErrorKind::kUnavailable, where, "no target is available to run the request"),
-          std::max(kMinRetryAfter, std::chrono::duration_cast<milliseconds>(
-                                       Scale(route.objective, kRetryAfterShare))));
+      return {context_.codec.EncodeError(
+                  503,
+                  MakeError(ErrorKind::kUnavailable, where,
+                            "no target is available to run the request"),
+                  std::max(kMinRetryAfter, std::chrono::duration_cast<milliseconds>(
+                                               Scale(route.objective, kRetryAfterShare)))),
+              {}};
     case FanOutOutcome::kFailed:
       if (!route.gather && failure_) {
-        return context_.codec.Encode(std::move(*failure_));
+        return EncodeSingle(std::move(*failure_));
       }
-      return context_.codec.EncodeError(
-          502,
-          MakeError(ErrorKind::kTargetLost, where,
-                    "the request failed; the last failed attempt ended as " + last_fault_),
-          std::nullopt);
+      return {context_.codec.EncodeError(
+                  502,
+                  MakeError(ErrorKind::kTargetLost, where,
+                            "the request failed; the last failed attempt ended as " + last_fault_),
+                  std::nullopt),
+              {}};
     case FanOutOutcome::kTimedOut:
-      return context_.codec.EncodeError(
-          504, MakeError(ErrorKind::kTimedOut, where, "the targets did not answer in time"),
-          std::nullopt);
+      return {context_.codec.EncodeError(
+                  504, MakeError(ErrorKind::kTimedOut, where, "the targets did not answer in time"),
+                  std::nullopt),
+              {}};
   }
   if (!route.gather) {
-    return context_.codec.Encode(std::move(*shards_.front().answer));
+    return EncodeSingle(std::move(*shards_.front().answer));
   }
   MergedAnswer merged;
   std::vector<std::string_view> parts;
@@ -354,7 +358,21 @@
   }
   merged.missing = shards_.size() - parts.size();
   merged.body = MergeTopRecords(parts, route.gather->top_records);
-  return context_.codec.Encode(merged);
+  // The merged body takes less memory than the answers of which it is made.
+  CallerResponse response{context_.codec.Encode(merged), {}};
+  for (Shard& shard : shards_) {
+    if (shard.answer) {
+      response.memory.push_back(std::move(shard.answer->memory));
+    }
+  }
+  return response;
+}
+
+CallerResponse RequestRunner::EncodeSingle(UpstreamAnswer answer) {
+  CallerResponse response;
+  response.memory.push_back(std::move(answer.memory));
+  response.message = context_.codec.Encode(std::move(answer));
+  return response;
 }
 
 void RequestRunner::AbandonAttempts(BootTime end) {
