--- a/include/peridotfork/config/settings.h
+++ b/include/peridotfork/config/settings.h
@@ -75,7 +75,7 @@
     return peers_addresses.empty() ? inner_address : peers_addresses.front();
   }
   // Number of requests by which the quota of a tenant may be exceeded in any window.
-  double quota_slack = 0;
+  std::uint32_t quota_slack = 0;
   std::uint32_t max_in_flight = 0;
   // Maximum number of callers' connections; 0 for what the limit of open files allows.
   std::uint32_t max_connections = 0;
