--- a/include/peridotfork/balance/target.h
+++ b/include/peridotfork/balance/target.h
@@ -40,6 +40,9 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   Slots slots{1};
+  // How long work takes on the target's machine at the moment, as a multiple of the usual; none if
+  // the target does not report it.
+  std::optional<double> work_factor;
 };
 
 // What a target said about itself along with an answer.
--- a/include/peridotfork/balance/target_score.h
+++ b/include/peridotfork/balance/target_score.h
@@ -26,6 +26,9 @@
   // Half-lives with which observations lose weight while no new ones arrive.
   std::chrono::nanoseconds slowness_half_life = std::chrono::milliseconds(1500);
   std::chrono::nanoseconds load_half_life = std::chrono::milliseconds(100);
+  // The factor of work on a target's machine changes many times a second; what slows a machine down
+  // lasts some hundreds of milliseconds.
+  std::chrono::nanoseconds work_factor_half_life = std::chrono::milliseconds(300);
 };
 
 // Expected cost of sending one more request to the target, in multiples of the
--- a/src/balance/target_score.cc
+++ b/src/balance/target_score.cc
@@ -49,6 +49,19 @@
   return std::max(own, reported * Decay(condition.load_at, now, options.load_half_life) + own / 2);
 }
 
+// How long work probably takes on the target, as a multiple of the usual: by the latencies that
+// were observed, and by what the target has reported of its machine.
+double WorkFactor(const TargetCondition& condition, BootTime now, const ScoreOptions& options) {
+  const double fresh = Decay(condition.slowness_at, now, options.slowness_half_life);
+  const double observed = 1 + (condition.slowness - 1) * fresh;
+  if (!condition.load || !condition.load->work_factor) {
+    return observed;
+  }
+  const double reported = 1 + (*condition.load->work_factor - 1) *
+                                  Decay(condition.load_at, now, options.work_factor_half_life);
+  return std::max(observed, reported);
+}
+
 // Whether the rate limit of a cold target, if any, allows one more request.
 bool ColdAllows(const TargetCondition& condition, BootTime now) {
   return now >= condition.cold_until || !condition.cold_interval || now >= condition.next_cold_send;
@@ -112,7 +125,7 @@
                    BootTime now,
                    const ScoreOptions& options) {
   const double fresh = Decay(condition.slowness_at, now, options.slowness_half_life);
-  const double slowness = 1 + (condition.slowness - 1) * fresh;
+  const double slowness = WorkFactor(condition, now, options);
   const double slots = std::max(1U, condition.entry.slots.value());
   const double backlog = Backlog(condition, now, options);
   double score = std::max(0.3, slowness) *
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/strand.hpp>
 #include <limits>
+#include <random>
 #include <string_view>
 #include <utility>
 
@@ -68,6 +69,9 @@
 // Delay after a failed accept, so that a lack of descriptors takes no processor time.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
 
+// Number of hosts to which a notice of another host is passed on.
+constexpr std::size_t kForwardedNotices = 3;
+
 // Part of the memory of the process that is for the answers of targets.
 constexpr std::uint64_t kAnswerMemoryDivisor = 16;
 
@@ -538,11 +542,15 @@
 }
 
 void Gateway::Publish(const protocol::TargetLossNotice& notice) {
-  const FleetMember self = fleet_.self();
-  for (const FleetMember& member : fleet_.Members()) {
-    if (member != self) {
-      fleet_.Send(member.address, notice);
-    }
+  std::vector<FleetMember> receivers = fleet_.Members();
+  std::erase(receivers, fleet_.self());
+  if (notice.origin.host != settings_.id && receivers.size() > kForwardedNotices) {
+    // The origin has told all hosts that it knows; a few more reach those that it does not know.
+    std::ranges::shuffle(receivers, std::minstd_rand(static_cast<unsigned>(notice.number)));
+    receivers.resize(kForwardedNotices);
+  }
+  for (const FleetMember& member : receivers) {
+    fleet_.Send(member.address, notice);
   }
 }
 
--- a/src/platform/message_codec.cc
+++ b/src/platform/message_codec.cc
@@ -27,7 +27,8 @@
 // Name of the tenant that holds the key of the request.
 constexpr const char* kTenant = "Tenant";
 constexpr const char* kNotRun = "Not-Executed";
-// Numbers of running requests, waiting requests and slots, separated by commas.
+// Numbers of running requests, waiting requests and slots, and, from some targets, how long work
+// takes at the moment as a percentage of the usual, separated by commas.
 constexpr const char* kLoad = "Server-Load";
 
 // "1" in all responses of a target that is leaving.
@@ -55,6 +56,9 @@
   return number;
 }
 
+// A higher figure for the time that work takes is not plausible and counts as none.
+constexpr double kMaxWorkPercent = 10'000;
+
 std::optional<LoadReport> ParseLoad(std::string_view text) {
   std::uint32_t numbers[3] = {};
   for (std::uint32_t& number : numbers) {
@@ -66,7 +70,12 @@
     number = *parsed;
     text = comma == std::string_view::npos ? std::string_view() : text.substr(comma + 1);
   }
-  return LoadReport{numbers[0], numbers[1], Slots(numbers[2])};
+  LoadReport load{numbers[0], numbers[1], Slots(numbers[2]), std::nullopt};
+  if (const auto percent = ParseNumber<double>(text);
+      percent && *percent > 0 && *percent <= kMaxWorkPercent) {
+    load.work_factor = *percent / 100;
+  }
+  return load;
 }
 
 // Parses the time in seconds, with or without a fraction, for which a target that rejected a
--- a/test/gateway/crash_guard_test.cc
+++ b/test/gateway/crash_guard_test.cc
@@ -191,5 +191,42 @@
   }
 }
 
+// Guards against a request that may not be repeated passing each host twice (review/4): it is lost
+// once in each attempt.
+TEST_CASE("a request that is not repeatable is quarantined by its first crash") {
+  Fleet fleet(5);
+  TargetLoss loss;
+  loss.sent = fleet.clock.now();
+  loss.noticed = fleet.clock.now();
+  fleet.guards[0]->OnTargetDown(1, loss, /*repeatable=*/false);
+  CHECK(fleet.guards[0]->Remaining(1) > kNotQuarantined);
+  CHECK(fleet.guards[0]->Remaining(2) == kNotQuarantined);
+}
+
+TEST_CASE(
+    "with notices, a crashing request that is not repeatable crashes few targets of any fleet") {
+  for (const std::size_t hosts : {5, 28, 118}) {
+    CAPTURE(hosts);
+    Fleet fleet(hosts);
+    std::mt19937 random(9);
+    int crashes = 0;
+    for (int i = 0; i < 200; ++i) {
+      fleet.clock.Advance(milliseconds(100));
+      CrashGuard& guard = *fleet.guards[random() % hosts];
+      if (guard.Remaining(1) > kNotQuarantined) {
+        continue;
+      }
+      TargetLoss loss;
+      loss.sent = fleet.clock.now();
+      fleet.clock.Advance(milliseconds(10));
+      loss.noticed = fleet.clock.now();
+      guard.OnTargetDown(1, loss, /*repeatable=*/false);
+      fleet.DeliverAll();
+      ++crashes;
+    }
+    CHECK(crashes <= 3);
+  }
+}
+
 }  // namespace
 }  // namespace peridotfork
--- a/test/platform/message_codec_test.cc
+++ b/test/platform/message_codec_test.cc
@@ -96,6 +96,22 @@
   CHECK_FALSE(PlatformCodec().Matches(response, RequestId("b")));
 }
 
+TEST_CASE("the fourth figure of a target's load says how long work takes there") {
+  const auto factor = [](const char* text) -> std::optional<double> {
+    http::RawResponse response;
+    response.set("Server-Load", text);
+    const auto load = PlatformCodec().DecodeAnswer(response).signals.load;
+    return load ? load->work_factor : std::optional<double>(-1);
+  };
+  CHECK(factor("3,0,8,250") == 2.5);
+  CHECK(factor("3,0,8,62.5") == 0.625);
+  for (const char* none : {"3,0,8", "3,0,8,", "3,0,8,x", "3,0,8,0", "3,0,8,-5", "3,0,8,nan",
+                           "3,0,8,inf", "3,0,8,1e9"}) {
+    CAPTURE(none);
+    CHECK_FALSE(factor(none).has_value());
+  }
+}
+
 TEST_CASE("what a target reports of the run and of its load is decoded") {
   http::RawResponse response;
   response.result(503);
