--- a/test/gateway/gateway_test.cc
+++ b/test/gateway/gateway_test.cc
@@ -160,6 +160,14 @@
     return Receive();
   }
 
+  // Reads until the gateway closes the connection.
+  std::string ReceiveAll() {
+    std::string bytes;
+    beast::error_code error;
+    asio::read(stream_.socket(), asio::dynamic_buffer(bytes), error);
+    return bytes;
+  }
+
   void Close() { stream_.close(); }
 
  private:
@@ -198,12 +206,13 @@
 
   void Publish(std::vector<Route> routes,
                std::uint64_t version = 1,
-               std::vector<ServiceSpec> services = {}) {
+               std::vector<ServiceSpec> services = {},
+               std::optional<std::vector<TenantSpec>> tenants = std::nullopt) {
     IngressLimits limits;
     limits.max_body = Bytes(1000);
     limits.max_header = Bytes(2000);
-    pending.emplace_back(CataloguePublished{CataloguePtr(
-        new Catalogue(Revision(version), std::move(routes), std::move(services), limits))});
+    pending.emplace_back(CataloguePublished{CataloguePtr(new Catalogue(
+        Revision(version), std::move(routes), std::move(services), limits, std::move(tenants)))});
     store->Push(std::exchange(pending, {}));
     for (int i = 0; i < 500 && ReadyStatus() != 200; ++i) {
       std::this_thread::sleep_for(milliseconds(5));
@@ -919,5 +928,171 @@
   CHECK(caller.Get("single.example", "/one/1", "z").body() == "new");
 }
 
+std::vector<TenantSpec> OneTenant(std::vector<std::string> keys, double rate = 0) {
+  TenantSpec spec;
+  spec.tenant.id = TenantId("north");
+  spec.tenant.quota_rate = Rate(rate);
+  spec.tenant.quota_burst = 1;
+  spec.api_keys = std::move(keys);
+  return {spec};
+}
+
+std::string KeyedRequest(const std::string& key, const std::string& fields = "") {
+  return "GET /one/1 HTTP/1.1\r\nHost: single.example\r\nRequest-Id: a\r\nTimeout-Ms: 900\r\n"
+         "Authorization: Bearer " +
+         key + "\r\n" + fields + "\r\n";
+}
+
+TEST_CASE("a target learns the tenant of a key, and neither the key nor a forged tenant") {
+  Fixture fixture;
+  fixture.AddTarget("one", [](const std::string& header) -> TargetAction {
+    CHECK(FieldOf(header, "Tenant") == "north");
+    CHECK(header.find("k1") == std::string::npos);
+    CHECK(header.find("forged") == std::string::npos);
+    return {Answer(FieldOf(header, "Request-Id"), "notes")};
+  });
+  fixture.Publish({SingleRoute(Repeatability::kIdempotent)}, 1, {}, OneTenant({"k1"}));
+  Caller caller = fixture.MakeCaller();
+  caller.SendRaw(KeyedRequest("k1", "Tenant: forged\r\nTENANT: forged-too\r\n"));
+  CHECK(caller.Receive().result_int() == 200);
+  caller.SendRaw(KeyedRequest("k2"));
+  CHECK(caller.Receive().result_int() == 401);
+  CHECK(caller.Get("single.example", "/one/1", "b").result_int() == 401);
+}
+
+TEST_CASE("a request without a valid key is refused before its body is read") {
+  Fixture fixture;
+  fixture.Publish({SingleRoute(Repeatability::kIdempotent)}, 1, {}, OneTenant({"k1"}));
+  Caller caller = fixture.MakeCaller();
+  caller.SendRaw(
+      "POST /one/1 HTTP/1.1\r\nHost: single.example\r\nRequest-Id: a\r\n"
+      "Content-Length: 500\r\n\r\n");
+  CHECK(caller.Receive().result_int() == 401);
+  CHECK(caller.Receive().result_int() == 0);
+}
+
+TEST_CASE("a key that is taken away ends on kept connections, and its successor holds") {
+  Fixture fixture;
+  fixture.AddTarget("one", Answering("notes"));
+  fixture.Publish({SingleRoute(Repeatability::kIdempotent)}, 1, {}, OneTenant({"k1", "k2"}));
+  Caller first = fixture.MakeCaller();
+  Caller second = fixture.MakeCaller();
+  first.SendRaw(KeyedRequest("k1"));
+  CHECK(first.Receive().result_int() == 200);
+  second.SendRaw(KeyedRequest("k2"));
+  CHECK(second.Receive().result_int() == 200);
+  fixture.Publish({SingleRoute(Repeatability::kIdempotent)}, 2, {}, OneTenant({"k2"}));
+  unsigned status = 200;
+  for (int i = 0; i < 500 && status == 200; ++i) {
+    first.SendRaw(KeyedRequest("k1"));
+    status = first.Receive().result_int();
+  }
+  CHECK(status == 401);
+  second.SendRaw(KeyedRequest("k2"));
+  CHECK(second.Receive().result_int() == 200);
+}
+
+// The store of the fixture leaves its watches unanswered.
+TEST_CASE("keys are refused when the store has not confirmed them for too long") {
+  GatewaySettings settings = Settings();
+  settings.store_revoke_after = milliseconds(400);
+  Fixture fixture(settings);
+  fixture.AddTarget("one", Answering("notes"));
+  Route open = SingleRoute(Repeatability::kIdempotent);
+  open.id = RouteId("open");
+  open.host = "open.example";
+  open.is_public = true;
+  fixture.Publish({SingleRoute(Repeatability::kIdempotent), open}, 1, {}, OneTenant({"k1"}));
+  std::this_thread::sleep_for(milliseconds(450));
+  Caller caller = fixture.MakeCaller();
+  caller.SendRaw(KeyedRequest("k1"));
+  const Response refused = caller.Receive();
+  CHECK(refused.result_int() == 503);
+  CHECK_FALSE(refused["Retry-After"].empty());
+  CHECK(caller.Get("open.example", "/one/1", "b").result_int() == 200);
+}
+
+TEST_CASE("a request beyond the quota of its tenant gets 429 with a time to come back") {
+  Fixture fixture;
+  fixture.AddTarget("one", Answering("notes"));
+  fixture.Publish({SingleRoute(Repeatability::kIdempotent)}, 1, {}, OneTenant({"k1"}, 0.5));
+  Caller caller = fixture.MakeCaller();
+  caller.SendRaw(KeyedRequest("k1"));
+  CHECK(caller.Receive().result_int() == 200);
+  caller.SendRaw(KeyedRequest("k1"));
+  const Response refused = caller.Receive();
+  CHECK(refused.result_int() == 429);
+  CHECK(std::stod(std::string(refused["Retry-After"])) > 0);
+}
+
+// Guards against review/2: the body of a request read as a second one.
+TEST_CASE("a request whose end is not certain gets 400 and runs nothing") {
+  Fixture fixture;
+  ScriptedTarget& target = fixture.AddTarget("one", Answering("notes"));
+  fixture.Publish({SingleRoute(Repeatability::kAtMostOnce)});
+  const std::string inner =
+      "POST /one/2 HTTP/1.1\r\nHost: single.example\r\nRequest-Id: b\r\n"
+      "Content-Length: 0\r\n\r\n";
+  for (const char* framing : {"Transfer-Encoding: gzip", "Transfer-Encoding: chunked, identity",
+                              "Transfer-Encoding : chunked", "Content-Length: +5"}) {
+    CAPTURE(framing);
+    Caller caller = fixture.MakeCaller();
+    caller.SendRaw("POST /one/1 HTTP/1.1\r\nHost: single.example\r\nRequest-Id: a\r\n" +
+                   std::string(framing) + "\r\n\r\n" + inner);
+    CHECK(caller.Receive().result_int() == 400);
+    CHECK(caller.Receive().result_int() == 0);
+  }
+  CHECK(target.connections() == 0);
+}
+
+TEST_CASE("the fields of a chunk trailer do not reach a target") {
+  Fixture fixture;
+  fixture.AddTarget("one", [](const std::string& header) -> TargetAction {
+    CHECK(header.find("X-Late") == std::string::npos);
+    CHECK(FieldOf(header, "Request-Id") == "a");
+    return {Answer(FieldOf(header, "Request-Id"), "notes")};
+  });
+  fixture.Publish({SingleRoute(Repeatability::kIdempotent)});
+  Caller caller = fixture.MakeCaller();
+  caller.SendRaw(
+      "POST /one/1 HTTP/1.1\r\nHost: single.example\r\nRequest-Id: a\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Late: 1\r\nRequest-Id: z\r\n\r\n");
+  CHECK(caller.Receive().result_int() == 200);
+}
+
+// Guards against a caller that repeats a request which may run once only.
+TEST_CASE("a target's 503 after a run is not passed on where the request may run once only") {
+  Fixture fixture;
+  fixture.AddTarget("one", [](const std::string& header) -> TargetAction {
+    return {"HTTP/1.1 503 Busy\r\nRequest-Id: " + FieldOf(header, "Request-Id") +
+            "\r\nResponse-Stamp: s\r\nContent-Length: 0\r\n\r\n"};
+  });
+  fixture.Publish({SingleRoute(Repeatability::kAtMostOnce)});
+  const Response response = fixture.MakeCaller().Get("single.example", "/one/1", "a");
+  CHECK(response.result_int() == 502);
+  CHECK(response.find("Response-Stamp") == response.end());
+}
+
+TEST_CASE("an answer to HEAD has no body, and none is awaited from the target") {
+  Fixture fixture;
+  fixture.AddTarget("one", [](const std::string& header) -> TargetAction {
+    CHECK(header.starts_with("HEAD "));
+    return {"HTTP/1.1 200 OK\r\nRequest-Id: " + FieldOf(header, "Request-Id") +
+            "\r\nResponse-Stamp: s\r\nContent-Length: 5\r\n\r\n"};
+  });
+  fixture.Publish({SingleRoute(Repeatability::kIdempotent)});
+  for (const char* path : {"/one/1", "/none/1"}) {
+    CAPTURE(path);
+    Caller caller = fixture.MakeCaller();
+    caller.SendRaw("HEAD " + std::string(path) +
+                   " HTTP/1.1\r\nHost: single.example\r\nRequest-Id: a\r\n"
+                   "Connection: close\r\n\r\n");
+    const std::string bytes = caller.ReceiveAll();
+    CHECK(bytes.starts_with("HTTP/1.1 "));
+    CHECK(bytes.ends_with("\r\n\r\n"));
+    CHECK(bytes.find("Content-Length: ") != std::string::npos);
+  }
+}
+
 }  // namespace
 }  // namespace peridotfork
