--- a/test/fanout/answer_class_test.cc
+++ b/test/fanout/answer_class_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <initializer_list>
+
 namespace peridotfork {
 namespace {
 
