--- a/src/tenants/api_key_table.cc
+++ b/src/tenants/api_key_table.cc
@@ -1,9 +1,9 @@
 #include "peridotfork/tenants/api_key_table.h"
 
 #include <mbedtls/md.h>
+#include <sys/random.h>
 
 #include <cstdio>
-#include <random>
 
 namespace peridotfork {
 namespace {
@@ -18,9 +18,10 @@
 }  // namespace
 
 ApiKeyTable::ApiKeyTable() {
-  std::random_device random;
-  for (std::uint8_t& byte : secret_) {
-    byte = static_cast<std::uint8_t>(random());
+  // The call gives up to 256 bytes whole, and fails only before the system has any randomness. The
+  // hashes are then without a secret, but still no keys.
+  if (getrandom(secret_.data(), secret_.size(), 0) < 0) {
+    secret_ = {};
   }
 }
 
