Look for slow callers also when the account of callers' memory refuses a share

Cause: shares that don't fit are refused, so slow senders of bodies keep the account just below its capacity. CloseSlowSessions() asked whether it was full and closed none of them; other bodies got 503 until the time limit of 9 s.

--- a/include/peridotfork/gateway/caller_memory.h
+++ b/include/peridotfork/gateway/caller_memory.h
@@ -40,9 +40,14 @@
   Bytes capacity() const { return Bytes(capacity_); }
   bool full() const { return used_ >= capacity_; }
 
+  // Whether the account is full or has refused a share since the last call. Shares that are refused
+  // keep the account below its capacity, so that full() alone does not tell.
+  bool TakeShortage();
+
  private:
   const std::size_t capacity_;
   std::atomic<std::size_t> used_ = 0;
+  std::atomic<bool> refused_ = false;
 };
 
 }  // namespace peridotfork
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -270,7 +270,7 @@
 }
 
 void Gateway::CloseSlowSessions() {
-  if (!caller_memory_->full() && connections_.memory().waiting() == 0) {
+  if (!caller_memory_->TakeShortage() && connections_.memory().waiting() == 0) {
     return;
   }
   const std::set<CallerSessionPtr> all = Sessions();
--- a/test/gateway/slow_callers_test.cc
+++ b/test/gateway/slow_callers_test.cc
@@ -63,5 +63,25 @@
   CHECK(account->used() == Bytes(0));
 }
 
+// Guards against slow senders that hold nearly all of the account and are never closed, because no
+// refused share lets the account become full.
+TEST_CASE("an account that refuses a share is short of memory until the next look") {
+  const boost::intrusive_ptr<CallerMemory> account(new CallerMemory(Bytes(100)));
+  CallerMemory::Share first(account);
+  CallerMemory::Share second(account);
+  CHECK(first.TrySet(90));
+  CHECK_FALSE(account->TakeShortage());
+  CHECK_FALSE(second.TrySet(20));
+  CHECK_FALSE(account->full());
+  CHECK(account->TakeShortage());
+  CHECK_FALSE(account->TakeShortage());
+  second.Set(20);
+  CHECK(account->TakeShortage());
+  CHECK(account->TakeShortage());
+  second.Set(5);
+  CHECK(account->used() == Bytes(95));
+  CHECK_FALSE(account->TakeShortage());
+}
+
 }  // namespace
 }  // namespace peridotfork
