Run no request of a closed connection, and let callers receive refusals

Causes and changes: - A write or a read that ended well after Close() went on: a pipelined request, or one whose body had just been read, ran without a connection. Completions now check for the close. - A connection chosen as slow was closed even if it had meanwhile gone on to a request, whose run was then not cancelled. It is closed only if its caller is still to send or to read. - A refusal before the end of a body closed the socket with unread input, so that a caller that was still sending got a reset in place of the status. Input is discarded for at most 1 s and 1 MiB. - Limits were read again for each step. If a new configuration raised max_header_bytes while a head was read, the buffer could be full below the limit, and the session read zero bytes in a loop until header_timeout. A request keeps the limits under which it began. - The part of a refused body that had been read was kept, uncounted, until the refusal was written. - A steady reader at 64 kbit/s could take more than 10 s to make a full send buffer writable; the limit is 30 s.

--- a/include/peridotfork/gateway/caller_session.h
+++ b/include/peridotfork/gateway/caller_session.h
@@ -87,15 +87,20 @@
   // When the session began to wait for its next request.
   BootTime idle_since() const { return idle_since_; }
 
-  // Closes the connection because its memory or its descriptor is needed.
+  // Closes the connection because its descriptor is needed, unless a request is running.
   void CloseForRoom();
 
+  // Closes the connection because its memory is needed, if the caller is still to send or to read.
+  void CloseIfSlow();
+
  private:
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
   using ErrorCode = boost::system::error_code;
 
   boost::intrusive_ptr<CallerSession> Self() { return {this}; }
   void WaitForRequest();
+  // Starts to read a request of which the first bytes have arrived.
+  void BeginRequest();
   void OnFirstBytes(const ErrorCode& error, std::size_t count);
   // Reads bytes until the buffer holds a whole head, and checks how its request is framed.
   void ReadHead();
@@ -103,6 +108,8 @@
   void ParseHead();
   // Answers a request that can't be read, and closes the connection.
   void RefuseMalformed(unsigned status, const Error& error);
+  // Answers a request that has not been read to its end, and closes the connection.
+  void RefuseUnread(http::RawResponse response);
   void OnHeader(const ErrorCode& error);
   void ReadBody();
   void ReadBodyBytes();
@@ -119,6 +126,9 @@
   void BeginProgress(std::size_t size);
   void EndProgress();
   void OnWritten(const ErrorCode& error, std::size_t count);
+  // Ends the output, and closes the connection when the caller has done so, or after some time.
+  void Linger();
+  void DiscardInput();
   void Close();
 
   boost::beast::tcp_stream stream_;
@@ -134,6 +144,8 @@
 
   // Accessed only on the strand of the stream.
   boost::beast::flat_buffer buffer_;
+  // Limits for the request that is being read: those in force when it began.
+  IngressLimits limits_;
   std::optional<Parser> parser_;
   // The header fields of a chunked request before its trailer is added to them.
   std::optional<boost::beast::http::request_header<>> chunked_header_;
@@ -149,6 +161,9 @@
   BootTime request_start_;
   bool first_request_ = true;
   bool keep_alive_ = false;
+  // Whether the connection ends with a request that was not read to its end.
+  bool input_left_ = false;
+  std::size_t discarded_ = 0;
   bool closed_ = false;
 };
 
--- a/src/gateway/caller_session.cc
+++ b/src/gateway/caller_session.cc
@@ -27,8 +27,10 @@
 // If the first request arrives within this time after its connection was accepted, the connection
 // was opened for it and the caller has been waiting since: the request starts at the accept time.
 constexpr std::chrono::milliseconds kFirstRequestWindow{100};
-// A connection whose caller takes no byte of a response for so long is closed.
-constexpr std::chrono::seconds kWriteTimeout{10};
+// A connection whose caller takes nothing of a response for so long is closed. The kernel reports a
+// full send buffer as writable when a third of it is free: 10 s would close a steady reader at
+// 64 kbit/s.
+constexpr std::chrono::seconds kWriteTimeout{30};
 // Size of the kernel's send buffer of a connection. Without a limit the kernel takes several
 // megabytes of an answer that its caller does not read.
 constexpr int kSendBuffer = 128 * 1024;
@@ -36,6 +38,11 @@
 constexpr std::size_t kBodyCopies = 3;
 // Time limit for reading the body of a request, as a multiple of the limit for its header.
 constexpr int kBodyTimeFactor = 3;
+// Input that follows a refused request is discarded for so long and up to so much before the
+// connection is closed: closing with unread input resets the connection, and a caller that still
+// sends its body then loses the refusal.
+constexpr std::chrono::seconds kLingerTime{1};
+constexpr std::size_t kMaxDiscarded = 1 << 20;
 
 std::string_view View(const beast::flat_buffer& buffer) {
   const auto bytes = buffer.cdata();
@@ -72,6 +79,14 @@
   });
 }
 
+void CallerSession::CloseIfSlow() {
+  asio::dispatch(stream_.get_executor(), [self = Self()] {
+    if (self->held_ > 0) {
+      self->Close();
+    }
+  });
+}
+
 void CallerSession::AnswerNow() {
   asio::dispatch(stream_.get_executor(), [self = Self()] {
     if (self->runner_ != nullptr) {
@@ -84,21 +99,12 @@
   busy_ = false;
   idle_since_ = sink_.clock().now();
   is_head_request_ = false;
-  const IngressLimits limits = sink_.limits();
-  parser_.emplace();
-  parser_->header_limit(static_cast<std::uint32_t>(std::min<std::uint64_t>(
-      limits.max_header.value(), std::numeric_limits<std::uint32_t>::max())));
-  parser_->body_limit(limits.max_body.value());
-  // Bounds what is kept while it can't be parsed, such as a chunk extension without end.
-  buffer_.max_size(std::max(buffer_.size(), limits.max_header.value() + kReadSize));
   if (buffer_.size() > 0) {
-    busy_ = true;
     request_start_ = sink_.clock().now();
-    stream_.expires_after(limits.header_timeout);
-    ReadHead();
+    BeginRequest();
     return;
   }
-  stream_.expires_after(limits.idle_timeout);
+  stream_.expires_after(sink_.limits().idle_timeout);
   stream_.async_read_some(buffer_.prepare(kReadSize),
                           [self = Self()](const ErrorCode& error, std::size_t count) {
                             self->OnFirstBytes(error, count);
@@ -110,14 +116,25 @@
     Close();
     return;
   }
-  busy_ = true;
   buffer_.commit(count);
   request_start_ = sink_.clock().now();
   if (first_request_ && request_start_ - accepted_ < kFirstRequestWindow) {
     request_start_ = accepted_;
   }
   first_request_ = false;
-  stream_.expires_after(sink_.limits().header_timeout);
+  BeginRequest();
+}
+
+void CallerSession::BeginRequest() {
+  busy_ = true;
+  limits_ = sink_.limits();
+  parser_.emplace();
+  parser_->header_limit(static_cast<std::uint32_t>(std::min<std::uint64_t>(
+      limits_.max_header.value(), std::numeric_limits<std::uint32_t>::max())));
+  parser_->body_limit(limits_.max_body.value());
+  // Bounds what is kept while it can't be parsed, such as a chunk extension without end.
+  buffer_.max_size(std::max(buffer_.size(), limits_.max_header.value() + kReadSize));
+  stream_.expires_after(limits_.header_timeout);
   ReadHead();
 }
 
@@ -138,7 +155,7 @@
     }
   } else if (http::HasBareLineEnd(bytes)) {
     RefuseMalformed(400, MakeError(ErrorKind::kMalformed, "request", "a bare line end in a head"));
-  } else if (bytes.size() > sink_.limits().max_header.value()) {
+  } else if (bytes.size() > limits_.max_header.value()) {
     RefuseMalformed(431, MakeError(ErrorKind::kTooLarge, "header", "the head is too large"));
   } else {
     stream_.async_read_some(
@@ -159,7 +176,12 @@
 }
 
 void CallerSession::RefuseMalformed(unsigned status, const Error& error) {
-  Write({sink_.Refuse(status, error), {}}, false);
+  RefuseUnread(sink_.Refuse(status, error));
+}
+
+void CallerSession::RefuseUnread(http::RawResponse response) {
+  input_left_ = true;
+  Write({std::move(response), {}}, false);
 }
 
 void CallerSession::ParseHead() {
@@ -169,6 +191,9 @@
 }
 
 void CallerSession::OnHeader(const ErrorCode& error) {
+  if (closed_) {
+    return;
+  }
   if (error) {
     OnReadError(error);
     return;
@@ -181,7 +206,7 @@
   if (parser_->is_done()) {
     DispatchRequest();
   } else if (std::optional<http::RawResponse> refusal = sink_.RefuseHead(parser_->get())) {
-    Write({std::move(*refusal), {}}, false);
+    RefuseUnread(std::move(*refusal));
   } else {
     ReadBody();
   }
@@ -192,8 +217,9 @@
 }
 
 void CallerSession::BeginProgress(std::size_t size) {
-  passed_ = 0;
+  // In the reverse order of Progress(): a reader in between sees a caller that has just begun.
   progress_since_ = sink_.clock().now();
+  passed_ = 0;
   held_ = size;
 }
 
@@ -202,22 +228,26 @@
 }
 
 void CallerSession::CloseForRoom() {
-  asio::dispatch(stream_.get_executor(), [self = Self()] { self->Close(); });
+  asio::dispatch(stream_.get_executor(), [self = Self()] {
+    if (self->runner_ == nullptr) {
+      self->Close();
+    }
+  });
 }
 
 void CallerSession::ReadBody() {
   const std::uint64_t length =
-      std::min(parser_->content_length().value_or(0), sink_.limits().max_body.value());
+      std::min(parser_->content_length().value_or(0), limits_.max_body.value());
   const std::size_t size = kBodyCopies * static_cast<std::size_t>(length);
   if (!body_memory_.TrySet(size)) {
-    Write({sink_.RefuseForMemory(parser_->get()), {}}, false);
+    RefuseUnread(sink_.RefuseForMemory(parser_->get()));
     return;
   }
   if (beast::iequals(parser_->get()[bhttp::field::expect], "100-continue")) {
     // The caller sends the body only after it has received 100 Continue.
     response_.emplace(bhttp::status::continue_, 11);
     bhttp::async_write(stream_, *response_, [self = Self()](const ErrorCode& error, std::size_t) {
-      if (error) {
+      if (error || self->closed_) {
         self->Close();
         return;
       }
@@ -227,7 +257,7 @@
     return;
   }
   BeginProgress(size);
-  stream_.expires_after(sink_.limits().header_timeout * kBodyTimeFactor);
+  stream_.expires_after(limits_.header_timeout * kBodyTimeFactor);
   ReadBodyBytes();
 }
 
@@ -239,7 +269,9 @@
 
 void CallerSession::OnBody(const ErrorCode& error, std::size_t count) {
   passed_ += count;
-  if (error) {
+  if (closed_) {
+    EndProgress();
+  } else if (error) {
     EndProgress();
     OnReadError(error);
   } else if (parser_->is_done()) {
@@ -248,7 +280,7 @@
     DispatchRequest();
   } else if (chunked_header_ && !GrowBodyMemory()) {
     EndProgress();
-    Write({sink_.RefuseForMemory(parser_->get()), {}}, false);
+    RefuseUnread(sink_.RefuseForMemory(parser_->get()));
   } else {
     ReadBodyBytes();
   }
@@ -263,14 +295,12 @@
 
 void CallerSession::OnReadError(const ErrorCode& error) {
   if (error == bhttp::error::body_limit) {
-    Write({sink_.Refuse(413, MakeError(ErrorKind::kTooLarge, "body", error.message())), {}}, false);
+    RefuseUnread(sink_.Refuse(413, MakeError(ErrorKind::kTooLarge, "body", error.message())));
   } else if (error == bhttp::error::header_limit) {
-    Write({sink_.Refuse(431, MakeError(ErrorKind::kTooLarge, "header", error.message())), {}},
-          false);
+    RefuseUnread(sink_.Refuse(431, MakeError(ErrorKind::kTooLarge, "header", error.message())));
   } else if (error != bhttp::error::end_of_stream && error != bhttp::error::partial_message &&
              error.category() == bhttp::make_error_code(bhttp::error::bad_method).category()) {
-    Write({sink_.Refuse(400, MakeError(ErrorKind::kMalformed, "request", error.message())), {}},
-          false);
+    RefuseUnread(sink_.Refuse(400, MakeError(ErrorKind::kMalformed, "request", error.message())));
   } else {
     Close();
   }
@@ -318,6 +348,8 @@
 
 void CallerSession::Write(CallerResponse response, bool keep_alive) {
   runner_.reset();
+  // Frees what was read of the body of a refused request.
+  parser_.reset();
   body_memory_.Set(0);
   if (closed_) {
     return;
@@ -358,11 +390,35 @@
   response_.reset();
   response_memory_.Set(0);
   answer_memory_.clear();
-  if (error || !keep_alive_) {
+  if (error || closed_) {
+    Close();
+  } else if (keep_alive_) {
+    WaitForRequest();
+  } else if (input_left_) {
+    Linger();
+  } else {
     Close();
-    return;
   }
-  WaitForRequest();
+}
+
+void CallerSession::Linger() {
+  ErrorCode ignored;
+  stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+  buffer_.clear();
+  stream_.expires_after(kLingerTime);
+  DiscardInput();
+}
+
+void CallerSession::DiscardInput() {
+  stream_.async_read_some(buffer_.prepare(kReadSize),
+                          [self = Self()](const ErrorCode& error, std::size_t count) {
+                            self->discarded_ += count;
+                            if (error || self->closed_ || self->discarded_ > kMaxDiscarded) {
+                              self->Close();
+                            } else {
+                              self->DiscardInput();
+                            }
+                          });
 }
 
 void CallerSession::Close() {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -282,7 +282,7 @@
   }
   const std::vector<std::size_t> slow = ChooseSlowCallers(progress, context_.clock.now());
   for (const std::size_t index : slow) {
-    sessions[index]->CloseForRoom();
+    sessions[index]->CloseIfSlow();
   }
   closed_for_room_ += slow.size();
   if (!slow.empty()) {
