Retry a failed accept on the acceptor's strand, and find the oldest idle session without a copy

Cause: the retry ran on any worker, while BeginDrain() may close the acceptor on its strand. With all connections in use, each accept copied the set of all sessions, thousands of allocations each.

Result: compiles without warnings; not run in a process.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -248,17 +248,23 @@
   // Descriptors or memory are used up, which does not end at once.
   CloseOldestIdleSession();
   context_.pool.After(kAcceptRetryDelay, [this] {
-    if (accepting_) {
-      Accept();
-    }
+    asio::dispatch(acceptor_.get_executor(), [this] {
+      if (accepting_) {
+        Accept();
+      }
+    });
   });
 }
 
 bool Gateway::CloseOldestIdleSession() {
   CallerSessionPtr oldest;
-  for (const CallerSessionPtr& session : Sessions()) {
-    if (!session->busy() && (oldest == nullptr || session->idle_since() < oldest->idle_since())) {
-      oldest = session;
+  {
+    // Without a copy of all sessions: with all connections in use, each new one gets here.
+    const RankedLock lock(sessions_mutex_);
+    for (const CallerSessionPtr& session : sessions_) {
+      if (!session->busy() && (oldest == nullptr || session->idle_since() < oldest->idle_since())) {
+        oldest = session;
+      }
     }
   }
   if (oldest == nullptr) {
