State the true length in answers to HEAD, and none in a 204

Cause: the length of a target's answer was replaced by that of the body received, which is 0 in an answer to HEAD or a 304; a 204 got a length although it must not have one (RFC 9110 section 8.6). Of several Connection fields only the first was read, so fields named by another were forwarded.

The stricter check in gateway_test has not been run.

--- a/src/gateway/caller_session.cc
+++ b/src/gateway/caller_session.cc
@@ -362,8 +362,11 @@
   answer_memory_ = std::move(response.memory);
   response_->keep_alive(keep_alive_);
   if (is_head_request_) {
-    // The length that was set stays.
+    // The length that was set stays, unless it is only that of the body left out by a target.
     response_->body().clear();
+    if ((*response_)[bhttp::field::content_length] == "0") {
+      response_->erase(bhttp::field::content_length);
+    }
   }
   response_memory_.Set(response_->body().size());
   BeginProgress(response_->body().size());
--- a/src/platform/message_codec.cc
+++ b/src/platform/message_codec.cc
@@ -117,12 +117,32 @@
          boost::beast::iequals(name, "Host");
 }
 
+// Whether one of the Connection fields, of which there may be several, lists the field `name`.
+bool IsNamedInConnection(const bhttp::fields& fields, boost::beast::string_view name) {
+  const auto [begin, end] = fields.equal_range(bhttp::field::connection);
+  return std::any_of(begin, end, [name](const auto& field) {
+    return bhttp::token_list(field.value()).exists(name);
+  });
+}
+
+// Sets the length of the answer. An answer without a body that states a length is one to HEAD, or a
+// 304, and the length is that of the body that is not sent.
+void SetLength(const http::RawResponse& answer, http::RawResponse& response) {
+  response.prepare_payload();
+  if (answer.result() == bhttp::status::no_content) {
+    response.erase(bhttp::field::content_length);
+  } else if (response.body().empty() && answer.has_content_length()) {
+    response.set(bhttp::field::content_length, answer[bhttp::field::content_length]);
+  } else if (answer.result() == bhttp::status::not_modified) {
+    response.erase(bhttp::field::content_length);
+  }
+}
+
 // Copies the fields that may be forwarded over another connection.
 void CopyEndToEnd(const bhttp::fields& from, bhttp::fields& to) {
-  bhttp::token_list named(from[bhttp::field::connection]);
   for (const auto& field : from) {
     const bool dropped =
-        named.exists(field.name_string()) && !IsAlwaysForwarded(field.name_string());
+        IsNamedInConnection(from, field.name_string()) && !IsAlwaysForwarded(field.name_string());
     if (!IsHopByHop(field.name()) && !dropped) {
       to.insert(field.name(), field.name_string(), field.value());
     }
@@ -214,7 +234,7 @@
   response.result(answer.message.result_int());
   CopyEndToEnd(answer.message, response);
   response.body() = std::move(answer.message.body());
-  response.prepare_payload();
+  SetLength(answer.message, response);
   return response;
 }
 
--- a/test/gateway/gateway_test.cc
+++ b/test/gateway/gateway_test.cc
@@ -1091,6 +1091,7 @@
     CHECK(bytes.starts_with("HTTP/1.1 "));
     CHECK(bytes.ends_with("\r\n\r\n"));
     CHECK(bytes.find("Content-Length: ") != std::string::npos);
+    CHECK(bytes.find("Content-Length: 0\r\n") == std::string::npos);
   }
 }
 
--- a/test/platform/message_codec_test.cc
+++ b/test/platform/message_codec_test.cc
@@ -186,6 +186,39 @@
   }
 }
 
+// Guards against an answer to HEAD that states the length 0, and a 204 that states any.
+TEST_CASE("the length of an answer without a body stays that of the target") {
+  const auto encode = [](unsigned status, const char* length, const std::string& body) {
+    http::RawResponse response(bhttp::int_to_status(status), 11);
+    if (length != nullptr) {
+      response.set(bhttp::field::content_length, length);
+    }
+    response.body() = body;
+    const http::RawResponse encoded =
+        PlatformCodec().Encode(PlatformCodec().DecodeAnswer(std::move(response)));
+    return std::string(encoded[bhttp::field::content_length]);
+  };
+  CHECK(encode(200, "5", "") == "5");
+  CHECK(encode(200, "0", "") == "0");
+  CHECK(encode(200, nullptr, "") == "0");
+  CHECK(encode(200, nullptr, "notes") == "5");
+  CHECK(encode(200, "5", "notes") == "5");
+  CHECK(encode(204, nullptr, "").empty());
+  CHECK(encode(204, "0", "").empty());
+  CHECK(encode(304, "5", "") == "5");
+  CHECK(encode(304, nullptr, "").empty());
+}
+
+TEST_CASE("a field that a second Connection field names is not forwarded") {
+  http::RawRequest request = SampleRequest();
+  request.insert(bhttp::field::connection, "x-other, Request-Id");
+  request.set("X-Other", "1");
+  const http::RawRequest forwarded = PlatformCodec().MakeForwarded(request, {});
+  CHECK(forwarded.find("X-Hop") == forwarded.end());
+  CHECK(forwarded.find("X-Other") == forwarded.end());
+  CHECK(forwarded["Request-Id"] == "9c41d07be2a35f68");
+}
+
 TEST_CASE("a merged answer contains the signatures of its parts and the number of missing parts") {
   const http::RawResponse response =
       PlatformCodec().Encode(MergedAnswer{{"s-1", "s-2"}, 1, std::string(32, 'r')});
