Mend two tests of the gateway: a missing include and a wait

Cause: gateway_test.cc used asio::read() without its header and did not compile. caller_session_test looked at a session before it had seen the end of its write; 5 of 7 runs with -fsanitize=thread failed for it.

Change: the header, and a wait until the session is idle; no check is left out.

--- a/test/gateway/caller_session_test.cc
+++ b/test/gateway/caller_session_test.cc
@@ -2,8 +2,6 @@
 
 #include <doctest/doctest.h>
 
-#include <boost/asio/connect.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
@@ -181,6 +179,10 @@
   Fixture fixture(/*memory=*/1000);
   CHECK(fixture.Send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n"));
   CHECK(fixture.Receive().result_int() == 200);
+  // The response may arrive before the session has seen that it was written.
+  for (int i = 0; i < 500 && fixture.session->busy(); ++i) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
   CHECK(fixture.session->Progress().held == 0);
   fixture.session->CloseIfSlow();
   CHECK(fixture.Send(Post(100) + "x"));
--- a/test/gateway/gateway_test.cc
+++ b/test/gateway/gateway_test.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
