--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -248,17 +248,23 @@
   // Descriptors or memory are used up, which does not end at once.
   CloseOldestIdleSession();
   context_.pool.After(kAcceptRetryDelay, [this] {
-    if (accepting_) {
-      Accept();
-    }
+    asio::dispatch(acceptor_.get_executor(), [this] {
+      if (accepting_) {
+        Accept();
+      }
+    });
   });
 }
 
 bool Gateway::CloseOldestIdleSession() {
   CallerSessionPtr oldest;
-  for (const CallerSessionPtr& session : Sessions()) {
-    if (!session->busy() && (oldest == nullptr || session->idle_since() < oldest->idle_since())) {
-      oldest = session;
+  {
+    // Without a copy of all sessions: with all connections in use, each new one gets here.
+    const RankedLock lock(sessions_mutex_);
+    for (const CallerSessionPtr& session : sessions_) {
+      if (!session->busy() && (oldest == nullptr || session->idle_since() < oldest->idle_since())) {
+        oldest = session;
+      }
     }
   }
   if (oldest == nullptr) {
@@ -270,7 +276,7 @@
 }
 
 void Gateway::CloseSlowSessions() {
-  if (!caller_memory_->full() && connections_.memory().waiting() == 0) {
+  if (!caller_memory_->TakeShortage() && connections_.memory().waiting() == 0) {
     return;
   }
   const std::set<CallerSessionPtr> all = Sessions();
@@ -282,7 +288,7 @@
   }
   const std::vector<std::size_t> slow = ChooseSlowCallers(progress, context_.clock.now());
   for (const std::size_t index : slow) {
-    sessions[index]->CloseForRoom();
+    sessions[index]->CloseIfSlow();
   }
   closed_for_room_ += slow.size();
   if (!slow.empty()) {
