Bound debts, permits and reporters of quotas, and keep counts that owners understand

A tenant whose limit was lowered kept its old debt, which the new rate took minutes or hours to repay, as the debt was bounded only when usage was reported. A tenant that was removed and added again began its count at zero, so that an owner that had seen higher counts ignored what was admitted. An owner that came back counted what the host had admitted under other owners as debt. Returned permits were kept for ever, and would have added to a full quota. A balance of NaN compared as a full quota, one huge total stopped the refill at all hosts for over a minute, and false senders made the table of reporters grow without bound.

Debts are bounded on reading, counts of a new tenant begin above those of dropped ones, baselines advance, permits end after 500 ms, values that are not finite are refused, and the least recent reporter is replaced. Each case has a test in quota_model_test.

--- a/include/peridotfork/tenants/fleet_quotas.h
+++ b/include/peridotfork/tenants/fleet_quotas.h
@@ -90,6 +90,9 @@
   // Quotas that this process keeps as an owner.
   std::map<TenantId, QuotaBucket> owned_;
   std::uint64_t refused_ = 0;
+  // Where the counts of a new tenant begin: above those of all tenants that were dropped, since an
+  // owner that has not seen a tenant go and come back would ignore counts that it has seen before.
+  std::uint64_t first_total_ = 0;
 };
 
 }  // namespace peridotfork
--- a/include/peridotfork/tenants/quota_allowance.h
+++ b/include/peridotfork/tenants/quota_allowance.h
@@ -29,8 +29,13 @@
   // An owner that has never answered is asked for the balance as often.
   static constexpr std::chrono::milliseconds kFirstAnswerInterval{500};
 
-  // Until a fleet is known, a host admits one request at once.
-  explicit QuotaAllowance(BootTime now) : local_(1, now) {}
+  // Permits that were returned are used up within this time, or not at all: kept for longer they
+  // would add to a full quota.
+  static constexpr std::chrono::milliseconds kReturnedFor{500};
+
+  // Until a fleet is known, a host admits one request at once. `total` is where the running count
+  // begins: not below any count of this process that owners may have seen.
+  explicit QuotaAllowance(BootTime now, std::uint64_t total = 0) : local_(1, now), total_(total) {}
 
   // Admits a request and returns none, or returns the time after which there is probably room.
   // `fleet_size` is the number of hosts among which the quota is divided if no owner answers.
@@ -39,7 +44,7 @@
                                                 BootTime now);
 
   // An admitted request did not run, so that the next one needs no permit.
-  void Return() { ++returned_; }
+  void Return(BootTime now);
 
   // Sets the owners, most preferred first. Those that were owners before keep their state.
   void SetOwners(const std::array<std::optional<FleetMember>, kOwners>& owners);
@@ -82,6 +87,8 @@
   TokenBucket local_;
   std::uint64_t total_ = 0;
   std::uint64_t returned_ = 0;
+  // When the first of the returned permits came back.
+  BootTime returned_at_;
   // A request was refused, so that the owners are asked for the balance.
   bool wants_balance_ = false;
 };
--- a/include/peridotfork/tenants/quota_bucket.h
+++ b/include/peridotfork/tenants/quota_bucket.h
@@ -52,7 +52,7 @@
   QuotaBucket(const QuotaLimit& limit, BootTime now) : bucket_(limit.capacity(), now) {}
 
   // Records that the process has admitted `total` requests since its start, of which it had
-  // admitted `baseline` when it first reported here.
+  // admitted `baseline` when it took this owner; what it admitted before is not counted here.
   void OnUsage(const ProcessId& process,
                std::uint64_t baseline,
                std::uint64_t total,
@@ -82,7 +82,8 @@
     BootTime last_usage;
   };
 
-  void ForgetIdle(BootTime now);
+  // Forgets processes that have reported nothing for long, and at least one.
+  void MakeRoom(BootTime now);
 
   TokenBucket bucket_;
   double usage_rate_ = 0;
--- a/src/tenants/fleet_quotas.cc
+++ b/src/tenants/fleet_quotas.cc
@@ -36,12 +36,15 @@
     }
     const auto known = tenants_.find(tenant.id);
     if (known == tenants_.end()) {
-      next.emplace(tenant.id, TenantState{limit, QuotaAllowance(now)});
+      next.emplace(tenant.id, TenantState{limit, QuotaAllowance(now, first_total_)});
     } else {
       known->second.limit = limit;
       next.insert(tenants_.extract(known));
     }
   }
+  for (const auto& [id, state] : tenants_) {
+    first_total_ = std::max(first_total_, state.allowance.total());
+  }
   tenants_ = std::move(next);
   std::erase_if(owned_, [&](const auto& item) { return !tenants_.contains(item.first); });
 }
@@ -70,7 +73,7 @@
 void FleetQuotas::Return(const TenantId& tenant) {
   const RankedLock lock(mutex_);
   if (const auto found = tenants_.find(tenant); found != tenants_.end()) {
-    found->second.allowance.Return();
+    found->second.allowance.Return(clock_.now());
   }
 }
 
--- a/src/tenants/quota_allowance.cc
+++ b/src/tenants/quota_allowance.cc
@@ -1,6 +1,7 @@
 #include "peridotfork/tenants/quota_allowance.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace peridotfork {
@@ -46,6 +47,9 @@
   if (limit.unlimited()) {
     return std::nullopt;
   }
+  if (now - returned_at_ >= kReturnedFor) {
+    returned_ = 0;
+  }
   if (returned_ > 0) {
     --returned_;
     return std::nullopt;
@@ -79,6 +83,14 @@
   return std::nullopt;
 }
 
+void QuotaAllowance::Return(BootTime now) {
+  if (returned_ == 0 || now - returned_at_ >= kReturnedFor) {
+    returned_ = 0;
+    returned_at_ = now;
+  }
+  ++returned_;
+}
+
 void QuotaAllowance::SetOwners(const std::array<std::optional<FleetMember>, kOwners>& owners) {
   std::array<std::optional<Owner>, kOwners> next;
   for (std::size_t i = 0; i < kOwners; ++i) {
@@ -129,13 +141,15 @@
   for (std::optional<Owner>& owner : owners_) {
     const bool is_sender = owner && owner->member.host == process.host &&
                            owner->member.incarnation == process.incarnation;
-    if (!is_sender || balance.total < owner->acknowledged || balance.total > total_) {
+    // NaN compares as a full quota.
+    const bool is_finite = std::isfinite(balance.balance) && std::isfinite(balance.usage_rate);
+    if (!is_sender || !is_finite || balance.total < owner->acknowledged || balance.total > total_) {
       continue;
     }
     owner->answered = true;
     owner->acknowledged = balance.total;
     owner->balance = balance.balance;
-    owner->usage_rate = balance.usage_rate;
+    owner->usage_rate = std::max(0.0, balance.usage_rate);
     owner->active = balance.active;
     owner->balance_at = now;
     owner->waiting_since.reset();
--- a/test/tenants/quota_model_test.cc
+++ b/test/tenants/quota_model_test.cc
@@ -1,9 +1,15 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <random>
+#include <string>
+#include <variant>
+#include <vector>
 
 #include "peridotfork/tenants/fleet_quotas.h"
 
@@ -296,9 +302,150 @@
   QuotaAllowance allowance(clock.now());
   CHECK_FALSE(allowance.Admit({Rate(0.1), 1, 0}, 1, clock.now()).has_value());
   CHECK(allowance.Admit({Rate(0.1), 1, 0}, 1, clock.now()).has_value());
-  allowance.Return();
+  allowance.Return(clock.now());
   CHECK_FALSE(allowance.Admit({Rate(0.1), 1, 0}, 1, clock.now()).has_value());
 }
 
+// Guards against permits that add up over hours and then open the quota.
+TEST_CASE("a permit that is not used soon after it came back is void") {
+  ManualClock clock;
+  QuotaAllowance allowance(clock.now());
+  const QuotaLimit limit{Rate(0.001), 1, 0};
+  CHECK_FALSE(allowance.Admit(limit, 1, clock.now()).has_value());
+  allowance.Return(clock.now());
+  allowance.Return(clock.now());
+  clock.Advance(milliseconds(500));
+  CHECK(allowance.Admit(limit, 1, clock.now()).has_value());
+  allowance.Return(clock.now());
+  CHECK_FALSE(allowance.Admit(limit, 1, clock.now()).has_value());
+  CHECK(allowance.Admit(limit, 1, clock.now()).has_value());
+}
+
+// Guards against a tenant that is refused for hours after its limit was lowered, since nothing is
+// reported any more that would bound its debt.
+TEST_CASE("a lower limit also bounds the debt from before") {
+  ManualClock clock;
+  const QuotaLimit before{Rate(1000), 1000, 0};
+  const QuotaLimit after{Rate(1), 1, 0};
+  const ProcessId process{HostId("h"), Role::kGateway, Incarnation(1)};
+  QuotaBucket bucket(before, clock.now());
+  bucket.OnUsage(process, 0, 6000, before, clock.now());
+  CHECK(bucket.Balance(before, clock.now()) == doctest::Approx(-5000));
+  CHECK(bucket.Balance(after, clock.now()) == doctest::Approx(-5));
+  clock.Advance(std::chrono::seconds(6));
+  CHECK(bucket.Balance(after, clock.now()) == doctest::Approx(1));
+}
+
+// Guards against a tenant that is refused for seconds after a split has ended: what a host admitted
+// while others were its owners is no debt here.
+TEST_CASE("an owner does not count what was admitted while it was none") {
+  ManualClock clock;
+  const QuotaLimit limit{Rate(10), 10, 0};
+  const ProcessId process{HostId("h"), Role::kGateway, Incarnation(1)};
+  QuotaBucket bucket(limit, clock.now());
+  bucket.OnUsage(process, 0, 3, limit, clock.now());
+  CHECK(bucket.Balance(limit, clock.now()) == doctest::Approx(7));
+  bucket.OnUsage(process, 1000, 1002, limit, clock.now());
+  CHECK(bucket.Balance(limit, clock.now()) == doctest::Approx(5));
+  // A late report from before.
+  bucket.OnUsage(process, 0, 4, limit, clock.now());
+  CHECK(bucket.Balance(limit, clock.now()) == doctest::Approx(5));
+}
+
+// Guards against false senders that use up the memory of an owner.
+TEST_CASE("the number of processes that an owner remembers is bounded") {
+  ManualClock clock;
+  const QuotaLimit limit{Rate(1e9), 1e9, 0};
+  QuotaBucket bucket(limit, clock.now());
+  const auto process = [](int i) {
+    return ProcessId{HostId("h" + std::to_string(i)), Role::kGateway, Incarnation(1)};
+  };
+  for (int i = 0; i < 8192; ++i) {
+    clock.Advance(std::chrono::microseconds(1));
+    bucket.OnUsage(process(i), 0, 1, limit, clock.now());
+  }
+  CHECK(bucket.ActiveHosts(clock.now()) == 8192);
+  bucket.OnUsage(process(8192), 0, 1, limit, clock.now());
+  CHECK(bucket.ActiveHosts(clock.now()) == 8192);
+  CHECK_FALSE(bucket.CountedTotal(process(0)).has_value());
+  CHECK(bucket.CountedTotal(process(8192)) == 1);
+}
+
+// Guards against one wrong report that stops the refill of a tenant at all hosts for minutes.
+TEST_CASE("a total near the largest number holds a tenant back for a few seconds only") {
+  ManualClock clock;
+  const QuotaLimit limit{Rate(10), 10, 0};
+  const ProcessId process{HostId("h"), Role::kGateway, Incarnation(1)};
+  QuotaBucket bucket(limit, clock.now());
+  bucket.OnUsage(process, 0, ~std::uint64_t{0}, limit, clock.now());
+  CHECK(bucket.Balance(limit, clock.now()) == doctest::Approx(-50));
+  clock.Advance(std::chrono::seconds(7));
+  CHECK(bucket.Balance(limit, clock.now()) == doctest::Approx(10));
+  CHECK(bucket.UsageRate(clock.now()) < 10);
+}
+
+// Guards against a balance that is no number, which would compare as a full quota.
+TEST_CASE("a balance that is not finite is ignored") {
+  ManualClock clock;
+  const QuotaLimit limit{Rate(10), 100, 0};
+  const FleetMember owner{HostId("o"), Incarnation(1), Address("1"), DataCentreId("a")};
+  const ProcessId process{HostId("o"), Role::kGateway, Incarnation(1)};
+  QuotaAllowance allowance(clock.now());
+  allowance.SetOwners({owner, std::nullopt});
+  const auto tell = [&](double balance, double usage_rate) {
+    allowance.OnBalance(process, {kTenant, 0, balance, 1, usage_rate}, clock.now());
+  };
+  tell(0, 0);
+  CHECK(allowance.Admit(limit, 1, clock.now()).has_value());
+  tell(std::nan(""), 0);
+  tell(std::numeric_limits<double>::infinity(), 0);
+  tell(50, std::nan(""));
+  CHECK(allowance.Admit(limit, 1, clock.now()).has_value());
+  tell(0, -1e9);
+  clock.Advance(milliseconds(50));
+  CHECK(allowance.Admit(limit, 1, clock.now()).has_value());
+}
+
+// Keeps what is sent; the fleet has this host and one other.
+struct TwoHosts final : FleetView, PeerSender {
+  FleetMember self() const override {
+    return {HostId("h1"), Incarnation(1), Address("1"), DataCentreId("a")};
+  }
+  std::vector<FleetMember> Members() const override {
+    return {self(), {HostId("h2"), Incarnation(1), Address("2"), DataCentreId("a")}};
+  }
+  std::size_t unaccounted() const override { return 0; }
+  std::uint64_t version() const override { return 1; }
+  bool joined() const override { return true; }
+  void Send(const Address&, protocol::Message message) override {
+    sent.push_back(std::move(message));
+  }
+
+  std::vector<protocol::Message> sent;
+};
+
+// Guards against an owner that ignores what a host admits, since it has seen higher counts of the
+// same process before the tenant was removed and added again.
+TEST_CASE("the counts of a tenant that comes back go on from where they were") {
+  ManualClock clock;
+  TwoHosts fleet;
+  FleetQuotas quotas(clock, {HostId("h1"), Role::kGateway, Incarnation(1)}, fleet, fleet, kSlack);
+  const auto last_usage = [&] {
+    quotas.Flush();
+    REQUIRE_FALSE(fleet.sent.empty());
+    return std::get<protocol::QuotaUsage>(fleet.sent.back()).tenants.back();
+  };
+  quotas.Update(*MakeCatalogue(1000, 1000));
+  quotas.Flush();
+  CHECK_FALSE(quotas.Admit(kTenant).has_value());
+  CHECK(last_usage().total == 1);
+  quotas.Update(*MakeCatalogue(0, 0));
+  quotas.Update(*MakeCatalogue(1000, 1000));
+  quotas.Flush();
+  CHECK_FALSE(quotas.Admit(kTenant).has_value());
+  CHECK(last_usage().baseline == 1);
+  CHECK(last_usage().total == 2);
+}
+
 }  // namespace
 }  // namespace peridotfork
