Close the link to other gateways without races

Join() stored its timer outside the lock that Close() did not take either, and a receive could be armed on the socket while Close() closed it. Both are guarded now, and Join() after Close() does nothing. Found by reading; fleet_link_test covers opening, joining and closing.

--- a/include/peridotfork/membership/fleet_link.h
+++ b/include/peridotfork/membership/fleet_link.h
@@ -65,9 +65,10 @@
   const DataCentreId data_centre_;
   const Handler handler_;
   DatagramEndpoint endpoint_;
-  boost::intrusive_ptr<PeriodicTask> ticker_;
-  // Taken before the locks of the transport and of no other module.
+  // Guards the members below. Taken before the locks of the transport and of no other module.
   mutable RankedMutex mutex_{LockRank::kRoutes};
+  boost::intrusive_ptr<PeriodicTask> ticker_;
+  bool closed_ = false;
   std::optional<Swim> swim_;
   std::size_t logged_members_ = 1;
 };
--- a/include/peridotfork/transport/datagram_endpoint.h
+++ b/include/peridotfork/transport/datagram_endpoint.h
@@ -62,7 +62,7 @@
     // One byte more than the largest message, to recognize longer ones.
     std::array<std::uint8_t, 2048> buffer{};
     std::atomic<bool> closed = false;
-    // Guards sending and closing.
+    // Guards the socket.
     RankedMutex mutex{LockRank::kTransport};
   };
 
--- a/src/membership/fleet_link.cc
+++ b/src/membership/fleet_link.cc
@@ -37,16 +37,16 @@
 void FleetLink::Join(const std::vector<Address>& seeds) {
   {
     const RankedLock lock(mutex_);
-    if (swim_ || endpoint_.address().value().empty()) {
+    if (closed_ || swim_ || endpoint_.address().value().empty()) {
       return;
     }
     const FleetMember self{id_.host, id_.incarnation, endpoint_.address(), data_centre_};
     const std::uint64_t random_seed =
         std::hash<std::string>{}(id_.host.value()) ^ id_.incarnation.value();
     swim_.emplace(clock_, self, seeds, random_seed);
+    ticker_ = PeriodicTask::Start(pool_, kTickInterval, [this] { Tick(); });
   }
   log_.Info("Looking for the other gateways.", {{"seeds", std::to_string(seeds.size())}});
-  ticker_ = PeriodicTask::Start(pool_, kTickInterval, [this] { Tick(); });
 }
 
 void FleetLink::Tick() {
@@ -110,8 +110,12 @@
 }
 
 void FleetLink::Close() {
-  if (ticker_ != nullptr) {
-    ticker_->Cancel();
+  {
+    const RankedLock lock(mutex_);
+    closed_ = true;
+    if (ticker_ != nullptr) {
+      ticker_->Cancel();
+    }
   }
   endpoint_.Close();
 }
--- a/src/transport/datagram_endpoint.cc
+++ b/src/transport/datagram_endpoint.cc
@@ -53,6 +53,10 @@
 }
 
 void DatagramEndpoint::Receive() {
+  const RankedLock lock(receiver_->mutex);
+  if (receiver_->closed) {
+    return;
+  }
   receiver_->socket.async_receive_from(
       asio::buffer(receiver_->buffer), receiver_->sender,
       [this, receiver = receiver_](const boost::system::error_code& error, std::size_t size) {
