Prove the store's state only for time that has passed, and ask for it at once after a failure

A watch without changes counted as proof for its whole wait although the store may end it early, for example when it caps waits: the proof then lay in the future and a revoked key could run. After a failed call the next watch waited as usual, so that one lost reply could bring the age to its limit while the store answered.

--- a/include/peridotfork/discovery/freshness.h
+++ b/include/peridotfork/discovery/freshness.h
@@ -26,9 +26,12 @@
   // Records a complete listing whose first call was made at `start`.
   void OnListed(BootTime start);
 
-  // Records the answer to a watch that was sent at `start` and waited for `wait`. `empty` says that
-  // the store had nothing to report.
-  void OnWatched(BootTime start, std::chrono::milliseconds wait, bool empty);
+  // Records the answer, received at `end`, to a watch that was sent at `start` and asked the store
+  // to wait for `wait`. `empty` says that the store had nothing to report.
+  void OnWatched(BootTime start, std::chrono::milliseconds wait, bool empty, BootTime end);
+
+  // Records a call without an answer: the next watch asks for the state at once.
+  void OnFailed() { failed_ = true; }
 
   // All changes that the store acknowledged until this time are known; BootTime() if none are.
   BootTime current_as_of() const { return current_as_of_; }
@@ -43,6 +46,8 @@
 
   const FreshnessOptions options_;
   BootTime current_as_of_;
+  // The last call was not answered.
+  bool failed_ = false;
 };
 
 }  // namespace peridotfork
--- a/src/discovery/freshness.cc
+++ b/src/discovery/freshness.cc
@@ -17,14 +17,17 @@
 }  // namespace
 
 void Freshness::OnListed(BootTime start) {
+  failed_ = false;
   current_as_of_ = std::max(current_as_of_, start);
 }
 
-void Freshness::OnWatched(BootTime start, milliseconds wait, bool empty) {
-  // The store answers a watch without changes only after its wait. When it had changes to report,
-  // the time at which it did is not known.
+void Freshness::OnWatched(BootTime start, milliseconds wait, bool empty, BootTime end) {
+  failed_ = false;
+  // The store answers a watch without changes only after its wait, unless it waits less than it was
+  // asked to. When it had changes to report, the time at which it did is not known.
+  const milliseconds waited = std::min(wait, std::chrono::duration_cast<milliseconds>(end - start));
   const milliseconds proven =
-      empty ? std::max(wait - kMaxHeldBack, milliseconds(0)) : milliseconds(0);
+      empty ? std::max(waited - kMaxHeldBack, milliseconds(0)) : milliseconds(0);
   current_as_of_ = std::max(current_as_of_, start + proven);
 }
 
@@ -34,8 +37,10 @@
 }
 
 milliseconds Freshness::NextWatchDuration(BootTime now) const {
-  return unlimited() ? options_.watch_duration
-                     : std::clamp(TimeLeft(now), kMinWatch, options_.watch_duration);
+  if (unlimited()) {
+    return options_.watch_duration;
+  }
+  return failed_ ? kMinWatch : std::clamp(TimeLeft(now), kMinWatch, options_.watch_duration);
 }
 
 milliseconds Freshness::NextBatchDelay(BootTime now) const {
--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -134,7 +134,7 @@
       }
       Publish();
     }
-    freshness_.OnWatched(call_start_, watch_duration_, reply.empty);
+    freshness_.OnWatched(call_start_, watch_duration_, reply.empty, clock_.now());
     current_as_of_ = freshness_.current_as_of();
     if (!reply.changes.empty()) {
       delay = freshness_.NextBatchDelay(clock_.now());
@@ -175,6 +175,7 @@
     }
     delay = RetryDelay(call_time);
     ++consecutive_failures_;
+    freshness_.OnFailed();
     list = !revision_;
     if (list) {
       listed_changes_.clear();
