Decide on keys by the age of the configuration used, and give back permits of requests not sent

Handle() took the configuration first and read its age afterwards. A thread that stopped in between, as on a host that freezes, judged an old configuration by the age of a newer one, and a revoked key ran. The age is now read first. A host whose keys are out of date answered 401 to a key it does not know, which may have been published meanwhile; it now answers 503 with Retry-After, as for any request with a key.

FleetQuotas::Return() had no caller. A request that ends without an attempt that may have reached a target now gives its permit back; one that was shed by a target has arrived there and does not. The call is posted, since the lock of the request ranks above that of the quotas.

Tests in gateway_test and fleet_link_test; gateway_test lacked an include for asio::read. The order of the two reads has no test: it needs a thread stopped between them.

--- a/include/peridotfork/gateway/gateway.h
+++ b/include/peridotfork/gateway/gateway.h
@@ -95,9 +95,9 @@
   // Time for which the request stays quarantined for crashing targets; zero if it may run.
   std::chrono::nanoseconds QuarantineRemaining(const http::RawRequest& request,
                                                const CallerIdentity& identity) const;
-  // Whether this host is certain that a key that it knows has not been taken away for longer than
-  // the settings allow.
-  bool KeysAreCurrent() const;
+  // Whether keys of a catalogue that is current as of `as_of` have not been taken away for longer
+  // than the settings allow. `as_of` must be read before the catalogue.
+  bool KeysAreCurrent(BootTime as_of) const;
   CataloguePtr catalogue() const;
   void OnPeerMessage(const protocol::Envelope& envelope);
   void OnTargetLoss(const protocol::Envelope& envelope, const protocol::TargetLossNotice& notice);
--- a/include/peridotfork/gateway/request_runner.h
+++ b/include/peridotfork/gateway/request_runner.h
@@ -59,11 +59,12 @@
   using Callback = RequestSink::Callback;
 
   // `done` is called once, on a worker, unless the request is cancelled because the caller
-  // disconnected. `on_end` is called once when the request has been answered or cancelled.
+  // disconnected. `on_end` is called once, with the lock of the request held, when the request has
+  // been answered or cancelled; it is told whether an attempt may have reached a target.
   RequestRunner(GatewayContext& context,
                 RoutedRequest request,
                 Callback done,
-                std::function<void()> on_end);
+                std::function<void(bool reached_target)> on_end);
 
   void Start();
 
@@ -109,7 +110,7 @@
   const RoutedRequest request_;
   const http::RawRequest forwarded_;
   Callback done_;
-  const std::function<void()> on_end_;
+  const std::function<void(bool reached_target)> on_end_;
   RankedMutex mutex_{LockRank::kRequests};
   boost::asio::steady_timer timer_;
   BootTime armed_for_;
@@ -125,6 +126,8 @@
   // Number of liveness checks for this request, and when its first loss was noticed.
   std::uint32_t liveness_checks_ = 0;
   BootTime first_loss_noticed_;
+  // Attempts that were sent and did not fail to connect.
+  std::size_t reached_ = 0;
   bool concluded_ = false;
   bool caller_gone_ = false;
 };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -407,6 +407,9 @@
 RequestRunnerPtr Gateway::Handle(http::RawRequest request, BootTime start, Callback done) {
   RoutedRequest routed;
   routed.ingress = adapters_.codec->DecodeRequest(request);
+  // Read before the catalogue: if this thread stops in between, the age must not be that of a newer
+  // catalogue than the one that is used.
+  const BootTime keys_as_of = follower_.current_as_of();
   routed.catalogue = catalogue();
   const RequestId id = routed.ingress.id;
   const auto refuse = [&](unsigned status, const Error& error,
@@ -428,16 +431,19 @@
   }
   const Result<CallerIdentity> identity =
       IdentifyCaller(*routed.catalogue, *routed.route, adapters_.codec->Credentials(request));
-  if (!identity.has_value()) {
-    return refuse(kUnauthorized, identity.error(), std::nullopt);
-  }
-  routed.identity = identity.value();
-  if (routed.identity.tenant != nullptr && !KeysAreCurrent()) {
+  // A host that does not know the newest keys can't say that a key is unknown either.
+  const bool has_key = identity.has_value() ? identity.value().tenant != nullptr
+                                            : !adapters_.codec->Credentials(request).empty();
+  if (has_key && !KeysAreCurrent(keys_as_of)) {
     return refuse(503,
                   MakeError(ErrorKind::kUnavailable, "gateway",
                             "the store has not confirmed the API keys recently enough"),
                   kRetryAfterStaleKeys);
   }
+  if (!identity.has_value()) {
+    return refuse(kUnauthorized, identity.error(), std::nullopt);
+  }
+  routed.identity = identity.value();
   routed.start = start;
   if (!CanFinishBeforeStop(routed)) {
     return refuse(503,
@@ -479,8 +485,17 @@
   }
   routed.message = std::move(request);
   ++in_flight_;
-  return RequestRunnerPtr(new RequestRunner(runner_context_, std::move(routed), std::move(done),
-                                            [this] { --in_flight_; }));
+  TenantId tenant = routed.identity.tenant == nullptr ? TenantId() : routed.identity.tenant->id;
+  return RequestRunnerPtr(
+      new RequestRunner(runner_context_, std::move(routed), std::move(done),
+                        [this, tenant = std::move(tenant)](bool reached_target) {
+                          --in_flight_;
+                          if (!reached_target && !tenant.value().empty()) {
+                            // Posted, since the lock of the request is held, which ranks above that
+                            // of the quotas.
+                            context_.pool.Post([this, tenant] { quotas_.Return(tenant); });
+                          }
+                        }));
 }
 
 bool Gateway::CanFinishBeforeStop(const RoutedRequest& request) const {
@@ -586,6 +601,7 @@
 }
 
 std::optional<http::RawResponse> Gateway::RefuseHead(const http::RawRequest& head) {
+  const BootTime keys_as_of = follower_.current_as_of();
   const CataloguePtr known = catalogue();
   if (known == nullptr || !known->has_tenants()) {
     return std::nullopt;
@@ -595,21 +611,19 @@
   if (route == nullptr) {
     return std::nullopt;
   }
-  const Result<CallerIdentity> identity =
-      IdentifyCaller(*known, *route, adapters_.codec->Credentials(head));
-  if (identity.has_value()) {
+  const std::vector<std::string_view> credentials = adapters_.codec->Credentials(head);
+  const Result<CallerIdentity> identity = IdentifyCaller(*known, *route, credentials);
+  // With keys that may be out of date, Handle() decides.
+  if (identity.has_value() || (!credentials.empty() && !KeysAreCurrent(keys_as_of))) {
     return std::nullopt;
   }
   request_log_.OnRefused(ingress.id, kUnauthorized, identity.error());
   return adapters_.codec->EncodeError(kUnauthorized, identity.error(), std::nullopt);
 }
 
-bool Gateway::KeysAreCurrent() const {
-  if (settings_.store_revoke_after <= std::chrono::milliseconds(0)) {
-    return true;
-  }
-  return context_.clock.now() - follower_.current_as_of() <=
-         settings_.store_revoke_after - kRevokeMargin;
+bool Gateway::KeysAreCurrent(BootTime as_of) const {
+  return settings_.store_revoke_after <= std::chrono::milliseconds(0) ||
+         context_.clock.now() - as_of <= settings_.store_revoke_after - kRevokeMargin;
 }
 
 CataloguePtr Gateway::catalogue() const {
--- a/src/gateway/request_runner.cc
+++ b/src/gateway/request_runner.cc
@@ -93,7 +93,7 @@
 RequestRunner::RequestRunner(GatewayContext& context,
                              RoutedRequest request,
                              Callback done,
-                             std::function<void()> on_end)
+                             std::function<void(bool reached_target)> on_end)
     : context_(context),
       request_(std::move(request)),
       forwarded_(context.codec.MakeForwarded(request_.message, request_.identity)),
@@ -119,7 +119,7 @@
   AbandonAttempts(context_.clock.now());
   LogOutcome("caller_gone", 0);
   done_ = nullptr;
-  on_end_();
+  on_end_(reached_ > 0);
 }
 
 void RequestRunner::OnShutdown() {
@@ -156,6 +156,7 @@
     return;
   }
   fan_out_.OnSent(spec.shard, now);
+  ++reached_;
   if (spec.purpose != AttemptPurpose::kFirst) {
     context_.log.OnAttempt(request_.ingress.id,
                            spec.purpose == AttemptPurpose::kHedge ? "hedge" : "retry", service,
@@ -202,6 +203,9 @@
         caller_gone_ ? AttemptOutcome::kCancelled : ToAttemptOutcome(result.state);
     ended = result.state == ExchangeState::kNotConnected ? AttemptResult::kNotRun
                                                          : AttemptResult::kMayHaveRun;
+    if (result.state == ExchangeState::kNotConnected) {
+      --reached_;
+    }
     context_.targets.Finish(*attempt, end);
     last_fault_ = AttemptOutcomeName(end);
     context_.log.OnAttempt(request_.ingress.id, AttemptOutcomeName(end), request_.services[index],
@@ -310,7 +314,7 @@
   AbandonAttempts(context_.clock.now() +
                   (fan_out_.plan().idempotent ? kAbandonedAttemptGrace : kNonIdempotentGrace));
   std::exchange(done_, nullptr)(std::move(response));
-  on_end_();
+  on_end_(reached_ > 0);
 }
 
 CallerResponse RequestRunner::MakeResponse(FanOutOutcome outcome) {
--- a/test/gateway/gateway_test.cc
+++ b/test/gateway/gateway_test.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
@@ -1009,6 +1010,9 @@
   const Response refused = caller.Receive();
   CHECK(refused.result_int() == 503);
   CHECK_FALSE(refused["Retry-After"].empty());
+  // A key that is not known here may have been published meanwhile.
+  caller.SendRaw(KeyedRequest("k2"));
+  CHECK(caller.Receive().result_int() == 503);
   CHECK(caller.Get("open.example", "/one/1", "b").result_int() == 200);
 }
 
@@ -1025,6 +1029,29 @@
   CHECK(std::stod(std::string(refused["Retry-After"])) > 0);
 }
 
+// Guards against a tenant that pays with its quota for requests that nothing could run.
+TEST_CASE("a request that reached no target gives its permit back") {
+  Fixture fixture;
+  fixture.AddTarget("one", Answering("notes"));
+  fixture.AddTarget("down", Answering("notes"));
+  fixture.targets.pop_back();
+  Route down = SingleRoute(Repeatability::kIdempotent);
+  down.id = RouteId("down");
+  down.host = "down.example";
+  down.services = {{ServiceId("down"), 1}};
+  fixture.Publish({SingleRoute(Repeatability::kIdempotent), down}, 1, {}, OneTenant({"k1"}, 0.01));
+  Caller caller = fixture.MakeCaller();
+  std::string to_down = KeyedRequest("k1");
+  to_down.replace(to_down.find("single.example"), 14, "down.example");
+  caller.SendRaw(to_down);
+  CHECK(caller.Receive().result_int() == 503);
+  std::this_thread::sleep_for(milliseconds(50));
+  caller.SendRaw(KeyedRequest("k1"));
+  CHECK(caller.Receive().result_int() == 200);
+  caller.SendRaw(KeyedRequest("k1"));
+  CHECK(caller.Receive().result_int() == 429);
+}
+
 // Guards against review/2: the body of a request read as a second one.
 TEST_CASE("a request whose end is not certain gets 400 and runs nothing") {
   Fixture fixture;
--- a/test/membership/fleet_link_test.cc
+++ b/test/membership/fleet_link_test.cc
@@ -80,6 +80,18 @@
   CHECK(alone.link.counters().sent == 0);
 }
 
+// Guards against a configuration that arrives while the process ends and starts the link again.
+TEST_CASE("a closed link does not look for other hosts") {
+  Fixture fixture;
+  Host& host = fixture.Add("h1");
+  Host& other = fixture.Add("h2");
+  host.link.Close();
+  host.link.Join({other.link.self().address});
+  std::this_thread::sleep_for(milliseconds(500));
+  CHECK(host.link.counters().sent == 0);
+  CHECK(host.link.counters().dropped == 0);
+}
+
 // Guards against a faulty peer that stops a host from listening.
 TEST_CASE("datagrams that can't be read are counted and change nothing") {
   Fixture fixture;
