--- a/include/peridotfork/membership/swim.h
+++ b/include/peridotfork/membership/swim.h
@@ -28,9 +28,9 @@
   // A suspect that does not refute the suspicion within this time is removed.
   std::chrono::milliseconds suspicion{3000};
   // How long a removed member counts as unaccounted for.
-  std::chrono::seconds unaccounted_for{30};
+  std::chrono::seconds unaccounted_for{120};
   // How long a removed or left incarnation is remembered, so that old messages don't revive it.
-  std::chrono::seconds memory{60};
+  std::chrono::seconds memory{180};
   // Updates in one message, so that it fits into one datagram of 1,200 bytes.
   std::size_t updates_per_message = 10;
   // A change is passed on this many times, times the binary logarithm of the number of members.
--- a/include/peridotfork/transport/datagram_endpoint.h
+++ b/include/peridotfork/transport/datagram_endpoint.h
@@ -31,7 +31,7 @@
 class DatagramEndpoint {
  public:
   // Larger messages are not sent, since the loss of one fragment loses a datagram.
-  static constexpr std::size_t kMaxDatagram = 1400;
+  static constexpr std::size_t kMaxDatagram = 1200;
 
   // Called on a worker with a message and the address that it came from.
   using Handler = std::function<void(const protocol::Envelope&, const Address& from)>;
--- a/src/gateway/caller_session.cc
+++ b/src/gateway/caller_session.cc
@@ -393,11 +393,10 @@
   response_.reset();
   response_memory_.Set(0);
   answer_memory_.clear();
-  if (error || closed_) {
-    Close();
-  } else if (keep_alive_) {
+  const bool is_open = !error && !closed_;
+  if (is_open && keep_alive_) {
     WaitForRequest();
-  } else if (input_left_) {
+  } else if (is_open && input_left_) {
     Linger();
   } else {
     Close();
