--- a/src/membership/swim.cc
+++ b/src/membership/swim.cc
@@ -188,6 +188,12 @@
   }
   const auto found = entries_.find(update.host);
   if (found != entries_.end() && !IsNews(found->second, update)) {
+    Entry& known = found->second;
+    const bool is_same = update.incarnation == known.member.incarnation;
+    if (is_same && update.state == State::kAlive && known.state == State::kDead) {
+      // Tells the member, so that it can refute that it is dead.
+      known.passed_on = 0;
+    }
     return;
   }
   const bool is_new = found == entries_.end();
