--- a/include/peridotfork/tenants/quota_allowance.h
+++ b/include/peridotfork/tenants/quota_allowance.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <utility>
 
 #include "peridotfork/core/clock.h"
 #include "peridotfork/core/ids.h"
@@ -64,11 +65,15 @@
 
  private:
   struct Owner {
+    // An owner that has not been told of the requests admitted so far, `total`.
+    Owner(FleetMember chosen, std::uint64_t total)
+        : member(std::move(chosen)), baseline(total), sent(total), acknowledged(total) {}
+
     FleetMember member;
-    std::uint64_t baseline = 0;
+    std::uint64_t baseline;
     // Total of the last report that was sent, and of the last one that was acknowledged.
-    std::uint64_t sent = 0;
-    std::uint64_t acknowledged = 0;
+    std::uint64_t sent;
+    std::uint64_t acknowledged;
     BootTime sent_at;
     // When the oldest total that is not acknowledged was reported; none if all are.
     std::optional<BootTime> waiting_since;
--- a/src/platform/message_codec.cc
+++ b/src/platform/message_codec.cc
@@ -129,12 +129,13 @@
 // 304, and the length is that of the body that is not sent.
 void SetLength(const http::RawResponse& answer, http::RawResponse& response) {
   response.prepare_payload();
-  if (answer.result() == bhttp::status::no_content) {
+  const bool states_length = response.body().empty() && answer.has_content_length();
+  const bool is_without_length = answer.result() == bhttp::status::no_content ||
+                                 (answer.result() == bhttp::status::not_modified && !states_length);
+  if (is_without_length) {
     response.erase(bhttp::field::content_length);
-  } else if (response.body().empty() && answer.has_content_length()) {
+  } else if (states_length) {
     response.set(bhttp::field::content_length, answer[bhttp::field::content_length]);
-  } else if (answer.result() == bhttp::status::not_modified) {
-    response.erase(bhttp::field::content_length);
   }
 }
 
--- a/src/tenants/quota_allowance.cc
+++ b/src/tenants/quota_allowance.cc
@@ -105,9 +105,7 @@
       known->reset();
       continue;
     }
-    next[i].emplace();
-    next[i]->member = *owners[i];
-    next[i]->baseline = next[i]->sent = next[i]->acknowledged = total_;
+    next[i].emplace(*owners[i], total_);
   }
   owners_ = std::move(next);
 }
--- a/test/http/framing_random_test.cc
+++ b/test/http/framing_random_test.cc
@@ -249,7 +249,7 @@
           text.replace(at, std::min<std::size_t>(piece.size(), text.size() - at), piece);
           break;
         default:
-          text.erase(at, static_cast<std::size_t>(1 + Below(3)));
+          text.erase(at, 1 + static_cast<std::size_t>(Below(3)));
       }
     }
     return text;
