--- a/include/peridotfork/balance/target_table.h
+++ b/include/peridotfork/balance/target_table.h
@@ -5,7 +5,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <random>
 #include <set>
 #include <span>
 #include <string>
@@ -42,13 +41,6 @@
   // route, and at least the minimum, which takes precedence.
   double hedge_objective_share = 0.36;
   std::chrono::nanoseconds min_hedge_delay = std::chrono::milliseconds(8);
-  // Requests are spread at random over the targets of almost equal score if a service has at least
-  // this many targets with at most this many slots each. All hosts would otherwise choose the same
-  // ones, and one collision fills such a target.
-  std::size_t spread_min_targets = 8;
-  Slots spread_max_slots{2};
-  // Scores up to this far apart, in multiples of the typical latency, count as almost equal.
-  double spread_score = 0.3;
 };
 
 enum class AttemptPurpose { kFirst, kRetry, kHedge };
@@ -120,7 +112,6 @@
   void ApplyEntry(TargetCondition& condition, const TargetEntry& entry, const Catalogue* catalogue);
   void StartColdPeriod(TargetCondition& condition);
   std::chrono::nanoseconds TypicalLatency(const Route& route) const;
-  bool IsSpread(const ServiceTargets& service) const;
   Target* PickBest(const ServiceTargets& service, const PickRequest& request, BootTime now) const;
   Target* PickBestAmong(const ServiceTargets& service,
                         const PickRequest& request,
@@ -151,7 +142,6 @@
   std::deque<TargetPtr> departed_order_;
   std::map<ServiceId, ServiceTargets> services_;
   routing::LatencyTracker route_times_;
-  mutable std::minstd_rand random_;
 };
 
 }  // namespace peridotfork
--- a/src/balance/target_table.cc
+++ b/src/balance/target_table.cc
@@ -53,8 +53,7 @@
       host_(host.value()),
       self_(std::move(self)),
       options_(options),
-      route_times_(clock),
-      random_(static_cast<std::minstd_rand::result_type>(std::hash<std::string>{}(host_))) {}
+      route_times_(clock) {}
 
 void TargetTable::Update(const std::vector<TargetEntry>& entries,
                          const std::set<DataCentreId>& drained,
@@ -298,11 +297,6 @@
   return estimate ? estimate->median : Scale(route.objective, kDefaultLatencyShare);
 }
 
-bool TargetTable::IsSpread(const ServiceTargets& service) const {
-  return service.targets.size() >= options_.spread_min_targets &&
-         service.targets.front()->condition.entry.slots <= options_.spread_max_slots;
-}
-
 Target* TargetTable::PickBest(const ServiceTargets& service,
                               const PickRequest& request,
                               BootTime now) const {
@@ -326,7 +320,6 @@
                                    BootTime now,
                                    bool (*may_take)(const TargetCondition&, BootTime)) const {
   const std::chrono::nanoseconds typical_latency = TypicalLatency(*request.route);
-  const bool is_spread = IsSpread(service);
   Target* best = nullptr;
   double best_score = 0;
   for (const TargetPtr& target : service.targets) {
@@ -335,10 +328,7 @@
         condition.open_attempts.size() >= condition.connection_share.value()) {
       continue;
     }
-    double score = ScoreTarget(condition, self_, typical_latency, now, options_.score);
-    if (is_spread) {
-      score += options_.spread_score * std::generate_canonical<double, 24>(random_);
-    }
+    const double score = ScoreTarget(condition, self_, typical_latency, now, options_.score);
     if (best == nullptr || score < best_score) {
       best = target.get();
       best_score = score;
