Probe other gateways more often once quotas are known, also after the start

Cause: the pace of probes was fixed by the first call to Join(). A host that joined before its store answered knew of no quotas then, and kept the sparse pace. Found by reading; the new test of Swim did not compile before, since there was no way to change the pace. Change: a later Join() changes the options.

--- a/include/peridotfork/membership/fleet_link.h
+++ b/include/peridotfork/membership/fleet_link.h
@@ -35,7 +35,7 @@
   // Binds the socket. Datagrams are received from now on; nothing is sent before Join().
   Result<void> Open(const Address& address);
 
-  // Starts to look for the other gateways through the seeds.
+  // Starts to look for the other gateways through the seeds. A later call changes the options only.
   void Join(const std::vector<Address>& seeds, SwimOptions options = {});
 
   // Announces that this process leaves.
--- a/include/peridotfork/membership/swim.h
+++ b/include/peridotfork/membership/swim.h
@@ -56,6 +56,9 @@
        std::uint64_t random_seed,
        SwimOptions options = {});
 
+  // Takes effect at the next period.
+  void SetOptions(const SwimOptions& options) { options_ = options; }
+
   // Returns the messages that are due. Called every few hundred milliseconds.
   Messages Tick();
 
@@ -115,7 +118,7 @@
   const Clock& clock_;
   const FleetMember self_;
   const std::vector<Address> seeds_;
-  const SwimOptions options_;
+  SwimOptions options_;
   std::mt19937_64 random_;
   // All other members, also those that were removed or have left a short time ago.
   std::map<HostId, Entry> entries_;
--- a/src/membership/fleet_link.cc
+++ b/src/membership/fleet_link.cc
@@ -37,7 +37,11 @@
 void FleetLink::Join(const std::vector<Address>& seeds, SwimOptions options) {
   {
     const RankedLock lock(mutex_);
-    if (closed_ || swim_ || endpoint_.address().value().empty()) {
+    if (closed_ || endpoint_.address().value().empty()) {
+      return;
+    }
+    if (swim_) {
+      swim_->SetOptions(options);
       return;
     }
     const FleetMember self{id_.host, id_.incarnation, endpoint_.address(), data_centre_};
--- a/test/membership/swim_test.cc
+++ b/test/membership/swim_test.cc
@@ -191,6 +191,24 @@
   CHECK(per_host(118) < 1.3 * per_host(25));
 }
 
+// Guards against a host that learns of quotas only after it has joined and keeps probing rarely.
+TEST_CASE("the pace of probes can change after the start") {
+  ManualClock clock;
+  Swim swim(clock, {HostId("h0"), Incarnation(1), Address("0"), DataCentreId("a")}, {Address("1")},
+            1, {.period = std::chrono::seconds(5), .first_period = std::chrono::seconds(5)});
+  const auto probes = [&] {
+    std::size_t count = 0;
+    for (int i = 0; i < 200; ++i) {
+      clock.Advance(milliseconds(100));
+      count += swim.Tick().size();
+    }
+    return count;
+  };
+  CHECK(probes() <= 5);
+  swim.SetOptions({});
+  CHECK(probes() >= 19);
+}
+
 TEST_CASE("a message of an older incarnation changes nothing") {
   SwimModel model(4);
   model.Run(std::chrono::seconds(10));
