review: requests reach a searcher over drain_ms after it has left, beside a zone loss

Cause: removals in a reply that removes a fifth of all searchers are held back for 2.2 s, and the reply may come 0.9 s after the removal.

--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -277,6 +277,8 @@
         if request.header("Target-Instance") not in (None, self.id):
             return encode("HTTP/1.1 421 X", [*common, ("Not-Executed", "1"),
                                              ("Instance-Id", self.id)])
+        self.case.arrivals.append({"t": self.case.record.now(), "searcher": self.id,
+                                   "request": request_id})
         self.case.record.write("arrives", searcher=self.id, service=self.service,
                                request=request_id, method=request.start[0],
                                target=request.start[1], timeout=request.header("Timeout-Ms"))
@@ -407,6 +409,8 @@
         self.record = Record(os.path.join(folder, "record.txt"))
         self.folder = tempfile.TemporaryDirectory(prefix="peridotfork-review-")
         self.processes = []
+        # Requests that reached searchers, without those that were answered 421.
+        self.arrivals = []
         self.store = None
 
     async def start_store(self):
