--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -313,10 +313,12 @@
         self.zone = zone
         self.limits = limits
         self.bounds = bounds
-        self.front, self.ready_port, self.control, self.internal = (free_port() for _ in range(4))
+        (self.front, self.ready_port, self.control, self.internal,
+         self.metrics) = (free_port() for _ in range(5))
         self.process = None
 
-    async def start(self, seeds=()):
+    def write_settings(self, seeds=()):
+        """Fills in the template; returns the role, its values and the path of the settings."""
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             role = next(iter(tomllib.load(file)["roles"].values()))
         with open(os.path.join(ROOT, role["template"]), encoding="utf-8") as file:
@@ -329,10 +331,14 @@
             "limits": self.limits, "bounds": self.bounds,
             "platform": {"address": f"{ADDRESS}:{self.case.store.port}"}}
         # The metrics port of the template is fixed; each process here needs one of its own.
-        text = fill(template, values).replace(":9464", f":{free_port()}")
+        text = fill(template, values).replace(":9464", f":{self.metrics}")
         path = os.path.join(self.case.folder.name, f"{self.node}.ini")
         with open(path, "w", encoding="utf-8") as file:
             file.write(text)
+        return role, values, path
+
+    async def start(self, seeds=()):
+        role, values, path = self.write_settings(seeds)
         command = [os.path.join(ROOT, role["run"].split()[0]), *(
             path if word.endswith("settings.toml") else word for word in role["run"].split()[1:])]
         environment = {"PATH": os.environ["PATH"], "HOME": self.case.folder.name, "LANG": "C",
