--- a/review/8/run.py
+++ b/review/8/run.py
@@ -39,7 +39,7 @@
     async def _answer(self, request):
         if (request.header("Target-Instance") in (None, self.id)
                 and request.start[1] == POISON):
-            self.case.poisoned.append((self.case.record.now(), self.id))
+            self.case.poisoned.append((self.case.record.now(), request.header("Request-Id")))
             self.case.record.write("crashes", searcher=self.id,
                                    request=request.header("Request-Id"))
             self.stop()
@@ -118,15 +118,16 @@
 
     third = case.poisoned[2][0] if len(case.poisoned) > 2 else None
     late = [] if third is None else [one for one in case.poisoned if one[0] > third + CONTACT_S]
+    retries = {request for _, request in late}
     record.say(f"{len(case.poisoned)} searchers crashed; {len(late)} of them over {CONTACT_S} s "
-               "after the third crash")
+               f"after the third crash, in {len(retries)} retries of the client")
     for booker in bookers:
         booker.cancel()
     ran = {arrival["request"] for arrival in case.arrivals}
     cut = sum(1 for request, status in outcomes.items() if status == 502 and request in ran)
     record.say(f"{cut} of {len(outcomes)} ordinary requests that may run only once were lost "
                "(they reached a searcher and were answered 502)")
-    return BROKEN if len(late) > MAX_RETRIES else HELD
+    return BROKEN if len(retries) > MAX_RETRIES else HELD
 
 
 async def restart(gateway, seeds):
--- a/review/standins-2/storm.py
+++ b/review/standins-2/storm.py
@@ -68,7 +68,7 @@
             version += 3
             store.put("op/config", configuration(version, "archive", f"step{version}", **size))
             await asyncio.sleep(max(0.0, begin + step * gap_s - time.monotonic()))
-    # The last version moves /pull/, has dropped /old/ and adds /new/.
+    # The last version moves /pull/ and adds /new/. The first step of the storm has dropped /old/.
     version += 3
     store.put("op/config", configuration(version, "roster", "new", **size))
     acknowledged = time.monotonic()
