Decode and log the limit that a target names, before it is obeyed

Nothing is decided by the limit yet.

New: two log lines, the metric peridotfork_limited_targets, and a decoder test (a decimal number, not negative; anything else counts as none).

--- a/include/peridotfork/balance/target.h
+++ b/include/peridotfork/balance/target.h
@@ -52,6 +52,8 @@
   bool leaving = false;
   // Set by a target that rejected a request: it wants no requests from this host for so long.
   std::optional<std::chrono::milliseconds> hold;
+  // Requests per second that a target in trouble takes from all hosts together.
+  std::optional<Rate> limit;
 };
 
 // One attempt to run a request on one target. Begins when the target is chosen.
@@ -79,6 +81,9 @@
   bool leaving = false;
   // Until this time the target gets nothing at all, because it has asked for that.
   BootTime hold_until;
+  // The limit that the target named last, and when; none if it does not limit its requests.
+  std::optional<Rate> limit;
+  BootTime limit_named_at;
   // Another target now uses the address. Never reset: a new incarnation of the
   // target gets a new condition.
   bool misdirected = false;
--- a/include/peridotfork/balance/target_table.h
+++ b/include/peridotfork/balance/target_table.h
@@ -101,6 +101,8 @@
   std::size_t ConnectionShare(const Target& target) const;
 
   std::size_t size() const;
+  // Number of targets that name a limit.
+  std::size_t limited() const;
 
  private:
   struct ServiceTargets {
@@ -125,6 +127,11 @@
 
   // Logs what a target said about itself, before it is recorded.
   void LogSignals(const Target& target, const TargetSignals& signals);
+  // Records whether the target names a limit in the answer to the attempt.
+  void RecordLimit(const Attempt& attempt,
+                   AttemptOutcome end,
+                   const TargetSignals& signals,
+                   BootTime now);
   // Logs a change of the target's health.
   void LogHealthChange(const Target& target, TargetHealth before, BootTime now);
   void LogMembership(const std::map<TargetId, TargetPtr>& kept);
--- a/src/balance/target_table.cc
+++ b/src/balance/target_table.cc
@@ -152,6 +152,7 @@
   const BootTime now = clock_.now();
   LogSignals(*attempt.target, signals);
   RecordSignals(condition, signals, now);
+  RecordLimit(attempt, end, signals, now);
   const TargetHealth before = HealthOf(condition, now);
   RecordOutcome(condition, attempt, end, now, options_.score);
   LogHealthChange(*attempt.target, before, now);
@@ -171,6 +172,31 @@
   }
 }
 
+void TargetTable::RecordLimit(const Attempt& attempt,
+                              AttemptOutcome end,
+                              const TargetSignals& signals,
+                              BootTime now) {
+  const Target& target = *attempt.target;
+  TargetCondition& condition = attempt.target->condition;
+  const auto log = [&](std::string_view message, Rate limit) {
+    log_.Request(message, {{"target", target.id().value()},
+                           {"service", condition.entry.service.value()},
+                           {"per_second", std::to_string(limit.value())}});
+  };
+  if (signals.limit) {
+    if (!condition.limit) {
+      log("A target limits the requests from all hosts.", *signals.limit);
+    }
+    condition.limit = signals.limit;
+    condition.limit_named_at = now;
+  } else if (condition.limit && end == AttemptOutcome::kAnswered &&
+             attempt.sent > condition.limit_named_at) {
+    // The answer to an earlier attempt may be older than the limit.
+    log("A target no longer limits its requests.", *condition.limit);
+    condition.limit.reset();
+  }
+}
+
 void TargetTable::LogHealthChange(const Target& target, TargetHealth before, BootTime now) {
   const TargetCondition& condition = target.condition;
   const TargetHealth after = HealthOf(condition, now);
@@ -248,6 +274,12 @@
   return targets_.size();
 }
 
+std::size_t TargetTable::limited() const {
+  const RankedLock lock(mutex_);
+  return static_cast<std::size_t>(std::ranges::count_if(
+      targets_, [](const auto& item) { return item.second->condition.limit.has_value(); }));
+}
+
 TargetTable::ServiceTargets& TargetTable::Service(const ServiceId& id) {
   const auto found = services_.find(id);
   if (found != services_.end()) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -157,6 +157,9 @@
       max_sessions_(MaxSessions(settings)) {
   metrics_.AddGauge("peridotfork_targets", "Targets in the store.",
                     [this] { return static_cast<double>(targets_.size()); });
+  metrics_.AddGauge("peridotfork_limited_targets",
+                    "Targets that limit the requests from all gateways together.",
+                    [this] { return static_cast<double>(targets_.limited()); });
   metrics_.AddGauge("peridotfork_connections", "Connections to targets.",
                     [this] { return static_cast<double>(connections_.size()); });
   metrics_.AddGauge("peridotfork_connections_opened", "Connections to targets since the start.",
--- a/src/platform/message_codec.cc
+++ b/src/platform/message_codec.cc
@@ -31,6 +31,9 @@
 // takes at the moment as a percentage of the usual, separated by commas.
 constexpr const char* kLoad = "Server-Load";
 
+// Requests per second that a target in trouble takes from all hosts together, a decimal number.
+constexpr const char* kLimit = "Server-Limit";
+
 // "1" in all responses of a target that is leaving.
 constexpr const char* kLeaving = "Server-Leaving";
 
@@ -89,6 +92,14 @@
       std::chrono::duration<double>(std::min(*seconds, kMaxRetryAfterSeconds)));
 }
 
+std::optional<Rate> ParseLimit(std::string_view text) {
+  const auto rate = ParseNumber<double>(text);
+  if (!rate || !std::isfinite(*rate) || *rate < 0) {
+    return std::nullopt;
+  }
+  return Rate(*rate);
+}
+
 // Whether the field applies to a single connection only. A message may list further such fields
 // in its Connection field.
 bool IsHopByHop(bhttp::field name) {
@@ -220,6 +231,7 @@
   answer.signature = std::string(View(response[kSignature]));
   answer.transformed = response.find(bhttp::field::content_encoding) != response.end();
   answer.signals.load = ParseLoad(View(response[kLoad]));
+  answer.signals.limit = ParseLimit(View(response[kLimit]));
   answer.signals.leaving = View(response[kLeaving]) == "1";
   const unsigned status = response.result_int();
   if (status == kUnavailable || status == kTooManyRequests) {
--- a/test/platform/message_codec_test.cc
+++ b/test/platform/message_codec_test.cc
@@ -136,6 +136,20 @@
   CHECK(failed.transformed);
 }
 
+TEST_CASE("the limit that a target names is a decimal number that is not negative") {
+  const auto limit = [](const char* text) {
+    http::RawResponse response;
+    response.set("Server-Limit", text);
+    return PlatformCodec().DecodeAnswer(response).signals.limit;
+  };
+  CHECK(limit("29.8") == Rate(29.8));
+  CHECK(limit("0") == Rate(0));
+  for (const char* none : {"", "x", "-1", "nan", "inf", "1e999", "30 per second"}) {
+    CAPTURE(none);
+    CHECK_FALSE(limit(none).has_value());
+  }
+}
+
 TEST_CASE("a target that is leaving is recognized by any of its responses") {
   for (const unsigned status : {200U, 421U, 500U, 503U}) {
     http::RawResponse response;
