Keep to the limit that a target names for all hosts together

The limit was not read, so each host sent as before: logs that all hosts heard of it within 2.4 s.

Each host now sends an even part, by the measured number of hosts, at turns that lapse after 1 s; retries, hedges and the last resort included. Until a starting host has found the others it counts the largest fleet planned, so that a common start does not multiply the limit. While a limit is named, the membership probes each second, as with quotas.

With the check of the limit taken out of the code, the new cases of target_table_test fail (400 requests in 4 s where 21 are allowed; a retry and a hedge beyond the limit). rate_share_test and swim_test cover 4, 25, 70 and 118 hosts.

--- a/include/peridotfork/balance/target.h
+++ b/include/peridotfork/balance/target.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 
+#include "peridotfork/balance/rate_share.h"
 #include "peridotfork/catalogue/catalogue.h"
 #include "peridotfork/core/clock.h"
 
@@ -81,8 +82,9 @@
   bool leaving = false;
   // Until this time the target gets nothing at all, because it has asked for that.
   BootTime hold_until;
-  // The limit that the target named last, and when; none if it does not limit its requests.
-  std::optional<Rate> limit;
+  // This host's share of the limit that the target named last, and when it did; none if it does not
+  // limit its requests.
+  std::optional<RateShare> limit;
   BootTime limit_named_at;
   // Another target now uses the address. Never reset: a new incarnation of the
   // target gets a new condition.
--- a/include/peridotfork/balance/target_score.h
+++ b/include/peridotfork/balance/target_score.h
@@ -48,6 +48,10 @@
 // Whether the target may be sent requests at all, now or after its hold has ended.
 bool IsOpen(const TargetCondition& condition);
 
+// From when on an open target may be sent requests, by its hold and the limit that it names; not
+// after `now` if it may be now.
+BootTime OpenFrom(const TargetCondition& condition, BootTime now);
+
 // Whether the target may be sent one more request now.
 bool MayTakeWork(const TargetCondition& condition, BootTime now);
 
--- a/include/peridotfork/balance/target_table.h
+++ b/include/peridotfork/balance/target_table.h
@@ -14,6 +14,7 @@
 #include "peridotfork/balance/target_score.h"
 #include "peridotfork/catalogue/catalogue.h"
 #include "peridotfork/core/clock.h"
+#include "peridotfork/membership/fleet.h"
 #include "peridotfork/routing/budget.h"
 #include "peridotfork/routing/latency_tracker.h"
 #include "peridotfork/runtime/log.h"
@@ -93,8 +94,9 @@
   // Delay after which an attempt that is sent now should be hedged.
   std::chrono::nanoseconds HedgeDelay(const Route& route) const;
 
-  // When the service has a target that may be sent requests, holds considered: a time in the
-  // past if it has one now, BootTime::max() if all its targets are closed or leaving.
+  // When the service has a target that may be sent requests, by holds and the limits that targets
+  // name: a time in the past if it has one now, BootTime::max() if all its targets are closed or
+  // leaving.
   BootTime OpensAt(const ServiceId& service) const;
 
   // Maximum number of connections to the target that this process may use.
@@ -104,6 +106,10 @@
   // Number of targets that name a limit.
   std::size_t limited() const;
 
+  // Sets the number of hosts among which the limits that targets name are divided. Until then it is
+  // that of the largest fleet.
+  void SetHostCount(std::size_t hosts);
+
  private:
   struct ServiceTargets {
     std::vector<TargetPtr> targets;
@@ -111,6 +117,9 @@
   };
 
   ServiceTargets& Service(const ServiceId& id);
+  // A position from 0 to below 1 that differs between hosts, so that their requests to the target
+  // do not coincide.
+  double SendPhase(const TargetId& target) const;
   void ApplyEntry(TargetCondition& condition, const TargetEntry& entry, const Catalogue* catalogue);
   void StartColdPeriod(TargetCondition& condition);
   std::chrono::nanoseconds TypicalLatency(const Route& route) const;
@@ -142,6 +151,7 @@
   const DataCentreId self_;
   const BalanceOptions options_;
   mutable RankedMutex mutex_{LockRank::kTargets};
+  std::size_t hosts_ = kLargestFleet;
   std::map<TargetId, TargetPtr> targets_;
   // Removed targets that must not be used again if the store lists the same incarnation once
   // more, and the order in which they were removed.
--- a/include/peridotfork/gateway/gateway.h
+++ b/include/peridotfork/gateway/gateway.h
@@ -78,6 +78,8 @@
 
   // Looks for the other gateways, if the settings name seeds.
   void JoinFleet();
+  // Divides the limits that targets name by the number of gateways.
+  void DivideLimits();
   void Accept();
   void OnAcceptFailed();
   // Closes the session that has been idle longest. Returns false if there is none.
@@ -129,6 +131,8 @@
   FleetQuotas quotas_;
   boost::intrusive_ptr<PeriodicTask> quota_task_;
   std::atomic<bool> quota_flush_pending_ = false;
+  // Some target names a limit.
+  std::atomic<bool> divides_limits_ = false;
   CrashGuard guard_;
   GatewayContext runner_context_;
   StoreFollower follower_;
--- a/include/peridotfork/membership/fleet.h
+++ b/include/peridotfork/membership/fleet.h
@@ -21,6 +21,13 @@
   friend bool operator==(const FleetMember&, const FleetMember&) = default;
 };
 
+// Number of gateways of the largest deployment planned. Shares of a sum over all gateways are those
+// of this number until the true one is known.
+inline constexpr std::size_t kLargestFleet = 2500;
+
+// Number that is assumed where the other gateways can't be found.
+inline constexpr std::size_t kAssumedFleet = 40;
+
 // The gateways of the deployment as this process sees them. Other processes may see others; no rule
 // depends on agreement. Implementations are thread-safe.
 class FleetView {
--- a/include/peridotfork/membership/fleet_link.h
+++ b/include/peridotfork/membership/fleet_link.h
@@ -49,6 +49,9 @@
   bool joined() const override;
   void Send(const Address& to, protocol::Message message) override;
 
+  // See Swim::size_bound(); kLargestFleet before Join().
+  std::size_t size_bound() const;
+
   const DatagramCounters& counters() const { return endpoint_.counters(); }
 
  private:
--- a/include/peridotfork/membership/swim.h
+++ b/include/peridotfork/membership/swim.h
@@ -21,6 +21,8 @@
   // it, some of 118 hosts that started together lacked one member for 45 s.
   std::chrono::milliseconds first_period{200};
   std::chrono::seconds first_periods_for{10};
+  // Longest time for which a host that has found others waits until it has discovered all.
+  std::chrono::seconds discovery_for{60};
   // A probe without acknowledgement is repeated through other members after this time, and makes
   // its member suspect at the end of the period.
   std::chrono::milliseconds ack_timeout{400};
@@ -29,6 +31,8 @@
   std::chrono::milliseconds suspicion{3000};
   // How long a removed member counts as unaccounted for.
   std::chrono::seconds unaccounted_for{120};
+  // How long a member that has left may still be serving callers.
+  std::chrono::seconds leaving_for{30};
   // How long a removed or left incarnation is remembered, so that old messages don't revive it.
   std::chrono::seconds memory{180};
   // Updates in one message, so that it fits into one datagram of 1,200 bytes.
@@ -70,6 +74,12 @@
 
   std::vector<FleetMember> Members() const;
   std::size_t unaccounted() const;
+  // Number of gateways that may be sending requests to targets, rather too high than too low:
+  // members, those lost a short time ago, and those that are leaving. kLargestFleet until the
+  // others have been discovered, which is once many updates after the first periods have named no
+  // new one: they name random members, so that few can be missing. kAssumedFleet at least if that
+  // takes long.
+  std::size_t size_bound() const;
   std::uint64_t version() const { return version_; }
   bool joined() const { return joined_; }
   const FleetMember& self() const { return self_; }
@@ -106,6 +116,8 @@
   void Expire(BootTime now);
   void Apply(const std::vector<protocol::MemberUpdate>& updates);
   void ApplyOne(const protocol::MemberUpdate& update);
+  // Counts updates that name no new member.
+  void ObserveDiscovery(bool is_new);
   void Set(Entry& entry, State state, std::uint32_t refutations);
   bool IsNews(const Entry& entry, const protocol::MemberUpdate& update) const;
   // This process first, then changes that are to be passed on, then random members.
@@ -114,6 +126,8 @@
   protocol::MemberUpdate SelfUpdate() const;
   std::vector<Entry*> Reachable();
   std::size_t GossipRounds() const;
+  // Number of members that entered the state within the time.
+  std::size_t CountSince(State state, std::chrono::seconds time) const;
 
   const Clock& clock_;
   const FleetMember self_;
@@ -125,6 +139,9 @@
   std::uint32_t self_refutations_ = 0;
   bool leaving_ = false;
   bool joined_ = false;
+  // Updates of known members in succession, since the first periods; see size_bound().
+  std::size_t repeated_updates_ = 0;
+  bool discovered_ = false;
   std::uint64_t version_ = 1;
   std::uint64_t last_number_ = 0;
   std::uint64_t periods_ = 0;
--- a/include/peridotfork/tenants/fleet_quotas.h
+++ b/include/peridotfork/tenants/fleet_quotas.h
@@ -24,10 +24,6 @@
 // I/O but through the sender. Thread-safe.
 class FleetQuotas {
  public:
-  // Number of hosts among which quotas are divided while no other host is known: at least as many
-  // as a deployment has.
-  static constexpr std::size_t kUnknownFleetSize = 40;
-
   // `fleet` and `sender` must outlive the object.
   // `slack` is the number of requests by which a quota may be exceeded in any window.
   FleetQuotas(const Clock& clock,
--- a/src/balance/target_score.cc
+++ b/src/balance/target_score.cc
@@ -67,6 +67,11 @@
   return now >= condition.cold_until || !condition.cold_interval || now >= condition.next_cold_send;
 }
 
+// Whether this host's share of the limit that the target names, if any, allows one more request.
+bool LimitAllows(const TargetCondition& condition, BootTime now) {
+  return !condition.limit || condition.limit->NextSend(now) <= now;
+}
+
 // Whether the target is cold and its service has no rate limit for cold targets.
 bool IsColdWithoutLimit(const TargetCondition& condition, BootTime now) {
   return now < condition.cold_until && !condition.cold_interval;
@@ -168,9 +173,14 @@
   return !condition.closed && !condition.leaving && !condition.misdirected;
 }
 
+BootTime OpenFrom(const TargetCondition& condition, BootTime now) {
+  return condition.limit ? std::max(condition.hold_until, condition.limit->NextSend(now))
+                         : condition.hold_until;
+}
+
 bool MayTakeWork(const TargetCondition& condition, BootTime now) {
-  if (!IsOpen(condition) || now < condition.hold_until || !ColdAllows(condition, now) ||
-      IsColdWithoutLimit(condition, now)) {
+  if (!IsOpen(condition) || now < condition.hold_until || !LimitAllows(condition, now) ||
+      !ColdAllows(condition, now) || IsColdWithoutLimit(condition, now)) {
     return false;
   }
   // After its suspect period, a suspect target gets one probe at a time.
@@ -184,7 +194,8 @@
 }
 
 bool MayTakeAsLastResort(const TargetCondition& condition, BootTime now) {
-  return IsOpen(condition) && now >= condition.hold_until && ColdAllows(condition, now) &&
+  return IsOpen(condition) && now >= condition.hold_until && LimitAllows(condition, now) &&
+         ColdAllows(condition, now) &&
          condition.open_attempts.size() < condition.entry.slots.value();
 }
 
--- a/src/balance/target_table.cc
+++ b/src/balance/target_table.cc
@@ -97,7 +97,8 @@
 
 void TargetTable::RememberDeparted(const TargetPtr& target, BootTime now) {
   const TargetCondition& condition = target->condition;
-  if (!condition.leaving && !condition.misdirected && now >= condition.hold_until) {
+  if (!condition.leaving && !condition.misdirected && !condition.limit &&
+      now >= condition.hold_until) {
     return;
   }
   departed_[target->id()] = target;
@@ -135,6 +136,9 @@
   }
   AttemptPtr attempt(new Attempt(TargetPtr(best), now));
   attempt->typical_latency = TypicalLatency(*request.route);
+  if (best->condition.limit) {
+    best->condition.limit->OnSent(now);
+  }
   if (best->condition.cold_interval) {
     best->condition.next_cold_send = now + *best->condition.cold_interval;
   }
@@ -184,15 +188,17 @@
                            {"per_second", std::to_string(limit.value())}});
   };
   if (signals.limit) {
-    if (!condition.limit) {
+    if (condition.limit) {
+      condition.limit->Set(*signals.limit, hosts_, now);
+    } else {
       log("A target limits the requests from all hosts.", *signals.limit);
+      condition.limit.emplace(*signals.limit, SendPhase(target.id()), hosts_, now);
     }
-    condition.limit = signals.limit;
     condition.limit_named_at = now;
   } else if (condition.limit && end == AttemptOutcome::kAnswered &&
              attempt.sent > condition.limit_named_at) {
     // The answer to an earlier attempt may be older than the limit.
-    log("A target no longer limits its requests.", *condition.limit);
+    log("A target no longer limits its requests.", condition.limit->limit());
     condition.limit.reset();
   }
 }
@@ -253,11 +259,12 @@
 
 BootTime TargetTable::OpensAt(const ServiceId& service) const {
   const RankedLock lock(mutex_);
+  const BootTime now = clock_.now();
   BootTime earliest = BootTime::max();
   if (const auto found = services_.find(service); found != services_.end()) {
     for (const TargetPtr& target : found->second.targets) {
       if (IsOpen(target->condition)) {
-        earliest = std::min(earliest, target->condition.hold_until);
+        earliest = std::min(earliest, OpenFrom(target->condition, now));
       }
     }
   }
@@ -274,6 +281,22 @@
   return targets_.size();
 }
 
+void TargetTable::SetHostCount(std::size_t hosts) {
+  const RankedLock lock(mutex_);
+  hosts_ = hosts;
+  const BootTime now = clock_.now();
+  for (const auto& [id, target] : targets_) {
+    if (std::optional<RateShare>& limit = target->condition.limit) {
+      limit->Set(limit->limit(), hosts, now);
+    }
+  }
+}
+
+double TargetTable::SendPhase(const TargetId& target) const {
+  constexpr std::size_t kPhases = 1024;
+  return static_cast<double>(std::hash<std::string>{}(host_ + target.value()) % kPhases) / kPhases;
+}
+
 std::size_t TargetTable::limited() const {
   const RankedLock lock(mutex_);
   return static_cast<std::size_t>(std::ranges::count_if(
@@ -315,12 +338,7 @@
   const bool was_cold = now < condition.cold_until;
   condition.cold_until = now + condition.entry.cold_time_left;
   if (condition.cold_interval && !was_cold) {
-    // Each host starts at a different offset, so that their requests do not coincide.
-    constexpr std::size_t kColdSendPhases = 1024;
-    const std::size_t phase =
-        std::hash<std::string>{}(host_ + condition.entry.id.value()) % kColdSendPhases;
-    condition.next_cold_send =
-        now + Scale(*condition.cold_interval, static_cast<double>(phase) / kColdSendPhases);
+    condition.next_cold_send = now + Scale(*condition.cold_interval, SendPhase(condition.entry.id));
   }
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -31,8 +31,8 @@
 constexpr std::chrono::milliseconds kRetryAfterDraining{10};
 // Interval at which connections that have become idle since are closed.
 constexpr std::chrono::milliseconds kCloseIdleInterval{500};
-// Delay before looking for the other gateways, so that callers are served first. Quotas need the
-// others at once.
+// Delay before looking for the other gateways, so that callers are served first. Quotas and the
+// limits that targets name need the others at once.
 constexpr std::chrono::seconds kPeerConnectDelay{3};
 // A host has its first listing of the store this long after its start, unless the store is away.
 constexpr std::chrono::milliseconds kFirstListing{50};
@@ -72,8 +72,8 @@
 // Number of hosts to which a notice of another host is passed on.
 constexpr std::size_t kForwardedNotices = 3;
 
-// Without quotas, the gateways tell each other of crashing requests only. Probes each second cost
-// 0.04 of the worth of a quiet day of 118 hosts, for bytes between data centres.
+// Without quotas and limits, the gateways tell each other of crashing requests only. Probes each
+// second cost 0.04 of the worth of a quiet day of 118 hosts, for bytes between data centres.
 constexpr std::chrono::seconds kSparsePeriod{5};
 constexpr std::chrono::seconds kSparseFirstPeriod{1};
 
@@ -207,6 +207,7 @@
     if (quotas_.enabled()) {
       quotas_.Flush();
     }
+    DivideLimits();
   });
   memory_task_ =
       PeriodicTask::Start(context_.pool, kMemoryInterval, [this] { CloseSlowSessions(); });
@@ -218,7 +219,7 @@
     return;
   }
   SwimOptions options;
-  if (!quotas_.enabled()) {
+  if (!quotas_.enabled() && !divides_limits_) {
     options.period = kSparsePeriod;
     options.first_period = kSparseFirstPeriod;
     options.suspicion = 3 * kSparsePeriod;
@@ -226,6 +227,16 @@
   fleet_.Join(settings_.seeds, options);
 }
 
+void Gateway::DivideLimits() {
+  const bool is_limited = targets_.limited() > 0;
+  if (is_limited) {
+    targets_.SetHostCount(settings_.seeds.empty() ? kAssumedFleet : fleet_.size_bound());
+  }
+  if (divides_limits_.exchange(is_limited) != is_limited) {
+    JoinFleet();
+  }
+}
+
 Result<void> Gateway::Reload(const std::string& settings) {
   const SettingsResult<GatewaySettings> parsed = ParseSettings<GatewaySettings>(settings);
   if (!parsed.has_value()) {
--- a/src/membership/fleet_link.cc
+++ b/src/membership/fleet_link.cc
@@ -143,6 +143,11 @@
   return swim_ ? swim_->unaccounted() : 0;
 }
 
+std::size_t FleetLink::size_bound() const {
+  const RankedLock lock(mutex_);
+  return swim_ ? swim_->size_bound() : kLargestFleet;
+}
+
 std::uint64_t FleetLink::version() const {
   const RankedLock lock(mutex_);
   return swim_ ? swim_->version() : 0;
--- a/src/membership/swim.cc
+++ b/src/membership/swim.cc
@@ -23,6 +23,11 @@
 constexpr std::uint32_t kMaxRefutations = 1'000'000;
 // Count of an entry that is not passed on.
 constexpr std::size_t kNeverPassedOn = std::numeric_limits<std::size_t>::max();
+// Updates without a new member after which the fleet counts as discovered. With a tenth of the
+// members missing, so many random updates would name one but for once in ten million times. In a
+// small fleet a message names all members, and a few messages suffice.
+constexpr std::size_t kUpdatesToDiscover = 160;
+constexpr std::size_t kUpdatesPerMemberToDiscover = 4;
 // Probes for other members that are remembered at most.
 constexpr std::size_t kMaxRelays = 256;
 
@@ -187,6 +192,7 @@
     return;
   }
   const auto found = entries_.find(update.host);
+  ObserveDiscovery(found == entries_.end());
   if (found != entries_.end() && !IsNews(found->second, update)) {
     Entry& known = found->second;
     const bool is_same = update.incarnation == known.member.incarnation;
@@ -211,6 +217,16 @@
   }
 }
 
+void Swim::ObserveDiscovery(bool is_new) {
+  // In the first periods the same few members are named again and again.
+  if (discovered_ || clock_.now() - started_ < options_.first_periods_for) {
+    return;
+  }
+  repeated_updates_ = is_new ? 0 : repeated_updates_ + 1;
+  discovered_ = repeated_updates_ >=
+                std::min(kUpdatesToDiscover, kUpdatesPerMemberToDiscover * entries_.size());
+}
+
 bool Swim::IsNews(const Entry& entry, const MemberUpdate& update) const {
   if (update.incarnation != entry.member.incarnation) {
     return update.incarnation > entry.member.incarnation;
@@ -303,9 +319,24 @@
 }
 
 std::size_t Swim::unaccounted() const {
+  return CountSince(State::kDead, options_.unaccounted_for);
+}
+
+std::size_t Swim::size_bound() const {
+  const std::chrono::seconds longest =
+      joined_ ? options_.discovery_for : options_.first_periods_for;
+  if (!discovered_ && clock_.now() - started_ < longest) {
+    return kLargestFleet;
+  }
+  const std::size_t seen =
+      Members().size() + unaccounted() + CountSince(State::kLeft, options_.leaving_for);
+  return discovered_ ? seen : std::max(seen, kAssumedFleet);
+}
+
+std::size_t Swim::CountSince(State state, std::chrono::seconds time) const {
   const BootTime now = clock_.now();
   return static_cast<std::size_t>(std::ranges::count_if(entries_, [&](const auto& item) {
-    return item.second.state == State::kDead && now - item.second.since < options_.unaccounted_for;
+    return item.second.state == state && now - item.second.since < time;
   }));
 }
 
--- a/src/tenants/fleet_quotas.cc
+++ b/src/tenants/fleet_quotas.cc
@@ -55,7 +55,7 @@
 }
 
 std::size_t FleetQuotas::fleet_size() const {
-  return fleet_.joined() ? fleet_.Members().size() + fleet_.unaccounted() : kUnknownFleetSize;
+  return fleet_.joined() ? fleet_.Members().size() + fleet_.unaccounted() : kAssumedFleet;
 }
 
 std::optional<std::chrono::nanoseconds> FleetQuotas::Admit(const TenantId& tenant) {
--- a/test/balance/target_table_test.cc
+++ b/test/balance/target_table_test.cc
@@ -127,6 +127,105 @@
   CHECK(fixture.PickName() == "near");
 }
 
+TargetSignals Limit(double per_second) {
+  TargetSignals signals;
+  signals.limit = Rate(per_second);
+  return signals;
+}
+
+// Offers a request each 10 ms and returns how many the target was sent.
+int CountSent(Fixture& fixture, milliseconds time) {
+  int sent = 0;
+  for (milliseconds passed(0); passed < time; passed += milliseconds(10)) {
+    sent += fixture.PickName() == "near" ? 1 : 0;
+    fixture.clock.Advance(milliseconds(10));
+  }
+  return sent;
+}
+
+TEST_CASE("a target that names a limit gets this host's share of it, also as the only one") {
+  Fixture fixture;
+  fixture.Update({Entry("near", "here")});
+  fixture.table.SetHostCount(4);
+  CHECK(CountSent(fixture, milliseconds(1000)) == 100);
+  fixture.table.Finish(*fixture.Pick(), AttemptOutcome::kAnswered, Limit(20));
+  CHECK(fixture.table.limited() == 1);
+  const int share = CountSent(fixture, milliseconds(4000));
+  CHECK(share >= 19);
+  CHECK(share <= 21);
+  fixture.table.SetHostCount(8);
+  CHECK(CountSent(fixture, milliseconds(4000)) <= 11);
+}
+
+TEST_CASE("retries and hedges count towards the limit that a target names") {
+  Fixture fixture;
+  fixture.Update({Entry("near", "here")});
+  fixture.table.SetHostCount(1);
+  fixture.table.Finish(*fixture.Pick(), AttemptOutcome::kAnswered, Limit(1));
+  fixture.clock.Advance(milliseconds(1000));
+  for (const AttemptPurpose purpose : {AttemptPurpose::kRetry, AttemptPurpose::kHedge}) {
+    const AttemptPtr first = fixture.Pick(purpose);
+    REQUIRE(first != nullptr);
+    fixture.table.Finish(*first, AttemptOutcome::kLost);
+    CHECK(fixture.Pick(purpose) == nullptr);
+    fixture.clock.Advance(milliseconds(1000));
+  }
+}
+
+TEST_CASE("a limit ends with an answer without one, not with one that may be older") {
+  Fixture fixture;
+  fixture.Update({Entry("near", "here")});
+  fixture.table.SetHostCount(1);
+  const AttemptPtr late = fixture.Pick();
+  const AttemptPtr failed = fixture.Pick();
+  fixture.table.Finish(*fixture.Pick(), AttemptOutcome::kAnswered, Limit(1));
+  fixture.table.Finish(*late, AttemptOutcome::kAnswered);
+  fixture.clock.Advance(milliseconds(1000));
+  fixture.table.Finish(*failed, AttemptOutcome::kLost);
+  CHECK(fixture.table.limited() == 1);
+  fixture.table.Finish(*fixture.Pick(), AttemptOutcome::kAnswered);
+  CHECK(fixture.table.limited() == 0);
+  CHECK(CountSent(fixture, milliseconds(1000)) == 100);
+}
+
+TEST_CASE(
+    "a target that names a limit of zero still gets a request at times, to learn of its end") {
+  Fixture fixture;
+  fixture.Update({Entry("near", "here")});
+  fixture.table.SetHostCount(1);
+  fixture.table.Finish(*fixture.Pick(), AttemptOutcome::kAnswered, Limit(0));
+  const int sent = CountSent(fixture, std::chrono::seconds(40));
+  CHECK(sent >= 9);
+  CHECK(sent <= 11);
+}
+
+TEST_CASE("a limit outlives the removal of the target's entry and ends with a restart") {
+  Fixture fixture;
+  fixture.Update({Entry("near", "here")});
+  fixture.table.SetHostCount(100);
+  fixture.table.Finish(*fixture.Pick(), AttemptOutcome::kAnswered, Limit(1));
+  fixture.Update({});
+  fixture.Update({Entry("near", "here")});
+  CHECK(CountSent(fixture, milliseconds(4000)) <= 1);
+  TargetEntry restarted = Entry("near", "here");
+  restarted.started_ms = 2;
+  fixture.Update({restarted});
+  CHECK(CountSent(fixture, milliseconds(1000)) == 100);
+}
+
+TEST_CASE("a service whose targets are all at their limits opens when the first may be sent one") {
+  Fixture fixture;
+  fixture.Update({Entry("near", "here")});
+  fixture.table.SetHostCount(1);
+  fixture.table.Finish(*fixture.Pick(), AttemptOutcome::kAnswered, Limit(0.5));
+  while (fixture.PickName() != "near") {
+    fixture.clock.Advance(milliseconds(10));
+  }
+  const BootTime opens_at = fixture.table.OpensAt(kService);
+  CHECK(opens_at > fixture.clock.now());
+  CHECK(opens_at <= fixture.clock.now() + milliseconds(2000));
+}
+
 TEST_CASE("what a leaving target answers late does not close its successor") {
   Fixture fixture;
   fixture.Update({Entry("near", "here")});
--- a/test/membership/swim_test.cc
+++ b/test/membership/swim_test.cc
@@ -18,7 +18,7 @@
 // delay and loss. Time is simulated.
 class SwimModel {
  public:
-  explicit SwimModel(std::size_t hosts) {
+  explicit SwimModel(std::size_t hosts, SwimOptions options = {}) : options_(options) {
     for (std::size_t i = 0; i < hosts; ++i) {
       Start(i);
     }
@@ -28,7 +28,7 @@
     const std::uint64_t incarnation = ++incarnations_[host];
     running_[host] = std::make_unique<Swim>(
         clock_, FleetMember{Name(host), Incarnation(incarnation), At(host), DataCentreId("a")},
-        std::vector{At(0), At(1), At(2)}, host * 1000 + incarnation);
+        std::vector{At(0), At(1), At(2)}, host * 1000 + incarnation, options_);
   }
   void Kill(std::size_t host) { running_.erase(host); }
   void Leave(std::size_t host) {
@@ -57,6 +57,7 @@
   }
 
   std::size_t Seen(std::size_t host) const { return running_.at(host)->Members().size(); }
+  std::size_t SizeBound(std::size_t host) const { return running_.at(host)->size_bound(); }
   std::size_t Lost(std::size_t host) const { return running_.at(host)->unaccounted(); }
   std::pair<std::size_t, std::size_t> SeenRange() const {
     std::size_t least = 1 << 20;
@@ -106,6 +107,7 @@
     protocol::Message message;
   };
 
+  const SwimOptions options_;
   ManualClock clock_;
   std::mt19937 random_{5};
   std::map<std::size_t, std::uint64_t> incarnations_;
@@ -191,6 +193,53 @@
   CHECK(per_host(118) < 1.3 * per_host(25));
 }
 
+// The largest sum, over all hosts, of even shares by their bounds on the size of the fleet.
+double LargestSum(SwimModel& model, std::size_t hosts, std::chrono::seconds time) {
+  double largest = 0;
+  for (std::chrono::seconds passed(0); passed < time; passed += std::chrono::seconds(1)) {
+    model.Run(std::chrono::seconds(1));
+    double sum = 0;
+    for (std::size_t host = 0; host < hosts; ++host) {
+      sum += 1.0 / static_cast<double>(model.SizeBound(host));
+    }
+    largest = std::max(largest, sum);
+  }
+  return largest;
+}
+
+TEST_CASE("shares by the size of the fleet add up while hosts do not know each other yet") {
+  // Of the one and a half times that the platform allows, a part is left for bursts.
+  constexpr double kLargestAllowed = 1.2;
+  const SwimOptions sparse{.period = std::chrono::seconds(5),
+                           .first_period = std::chrono::seconds(1),
+                           .suspicion = std::chrono::seconds(15)};
+  for (const SwimOptions& options : {SwimOptions(), sparse}) {
+    for (const std::size_t hosts : {4, 25, 70, 118}) {
+      CAPTURE(options.period.count());
+      CAPTURE(hosts);
+      SwimModel model(hosts, options);
+      CHECK(LargestSum(model, hosts, std::chrono::seconds(60)) <= kLargestAllowed);
+      model.Kill(hosts - 1);
+      model.Start(hosts - 1);
+      CHECK(LargestSum(model, hosts, std::chrono::seconds(40)) <= kLargestAllowed);
+      CHECK(model.SizeBound(0) == hosts);
+    }
+  }
+}
+
+TEST_CASE(
+    "hosts that are lost or that are leaving count towards the size of the fleet for a while") {
+  SwimModel model(12);
+  model.Run(std::chrono::seconds(20));
+  model.Leave(11);
+  model.Kill(10);
+  model.Run(std::chrono::seconds(15));
+  CHECK(model.Seen(0) == 10);
+  CHECK(model.SizeBound(0) == 12);
+  model.Run(std::chrono::seconds(20));
+  CHECK(model.SizeBound(0) == 11);
+}
+
 // Guards against a host that learns of quotas only after it has joined and keeps probing rarely.
 TEST_CASE("the pace of probes can change after the start") {
   ManualClock clock;
