Log when the store was restored from a copy, before anything follows from it

The log had neither the store's era nor its revision after an outage, which are needed to tell them apart.

The store states its era with all replies; the follower logs its rise with both revisions. Nothing is decided by it yet.

--- a/include/peridotfork/discovery/metadata_store.h
+++ b/include/peridotfork/discovery/metadata_store.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -17,6 +18,10 @@
 // Position in the change history of a metadata store.
 using StoreRevision = StrongValue<struct StoreRevisionTag, std::uint64_t>;
 
+// Rises each time that the store comes back from a copy and lacks what was written after the copy.
+// Revisions of different eras can't be compared.
+using StoreEra = StrongValue<struct StoreEraTag, std::uint64_t>;
+
 struct CataloguePublished {
   CataloguePtr catalogue;
 };
@@ -44,6 +49,8 @@
   std::vector<Error> faults;
   // Revision after which the next watch continues.
   StoreRevision revision;
+  // None if the store does not state it.
+  std::optional<StoreEra> era;
   // For a listing: where the next page begins; empty after the last page.
   std::string next_page;
 };
--- a/include/peridotfork/discovery/store_follower.h
+++ b/include/peridotfork/discovery/store_follower.h
@@ -80,6 +80,9 @@
   void WatchNext();
   void OnChanges(Result<StoreReply> reply);
   void OnAnswered();
+  // Takes the era of a reply. Returns whether the store was restored from a copy since the last
+  // one. Requires the lock.
+  bool ObserveEra(const StoreReply& reply);
   void OnFailure(const Error& error);
   // Delay before the next call after `call_time`, the duration of the failed call. Requires the
   // lock.
@@ -115,6 +118,7 @@
   // Start of the first call of the listing in progress.
   BootTime listing_start_;
   std::optional<StoreRevision> revision_;
+  std::optional<StoreEra> era_;
   // State of a listing in progress.
   std::optional<StoreRevision> listing_revision_;
   std::vector<StoreChange> listed_changes_;
--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -71,6 +71,7 @@
   {
     const RankedLock lock(mutex_);
     OnAnswered();
+    ObserveEra(reply);
     // The pages do not form a consistent snapshot. The watch therefore starts at the revision of
     // the first page, and repeats the changes made during the listing.
     listing_revision_ = listing_revision_.value_or(reply.revision);
@@ -122,6 +123,7 @@
   {
     const RankedLock lock(mutex_);
     OnAnswered();
+    ObserveEra(reply);
     revision_ = std::max(reply.revision, revision_.value_or(StoreRevision(0)));
     if (!reply.changes.empty()) {
       const CataloguePtr before = directory_.catalogue();
@@ -159,6 +161,22 @@
   }
 }
 
+bool StoreFollower::ObserveEra(const StoreReply& reply) {
+  if (!reply.era || (era_ && *reply.era <= *era_)) {
+    return false;
+  }
+  const std::optional<StoreEra> before = std::exchange(era_, reply.era);
+  if (!before) {
+    return false;
+  }
+  log_.Warning("The store was restored from a copy.",
+               {{"era", std::to_string(era_->value())},
+                {"era_before", std::to_string(before->value())},
+                {"revision", std::to_string(reply.revision.value())},
+                {"revision_before", revision_ ? std::to_string(revision_->value()) : ""}});
+  return true;
+}
+
 void StoreFollower::OnFailure(const Error& error) {
   ++failures_;
   const bool history_gone = error.kind() == ErrorKind::kStaleRevision;
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -1,6 +1,7 @@
 #include "peridotfork/platform/store_client.h"
 
 #include <boost/beast/core/detail/base64.hpp>
+#include <charconv>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
@@ -19,6 +20,8 @@
 constexpr std::string_view kConfigurationKey = "op/config";
 constexpr std::string_view kEvacuationPrefix = "op/evacuate/";
 constexpr std::string_view kTargetPrefix = "servers/";
+// A whole number in all replies.
+constexpr std::string_view kEra = "Store-Era";
 
 // Maximum size of a reply: twice the platform's limit of one megabyte for a value, with room for
 // the base64 encoding and the other items of a page.
@@ -128,6 +131,16 @@
   return reply;
 }
 
+std::optional<StoreEra> ParseEra(const std::string& text) {
+  std::uint64_t era = 0;
+  const char* const end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, era);
+  if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return StoreEra(era);
+}
+
 ErrorKind KindOfStatus(unsigned status) {
   switch (status) {
     case 410:
@@ -200,7 +213,11 @@
           done(MakeError(KindOfStatus(response.status), "store",
                          "HTTP status " + std::to_string(response.status)));
         } else {
-          done(decode(response.body));
+          Result<StoreReply> reply = decode(response.body);
+          if (reply.has_value()) {
+            reply.value().era = ParseEra(response.Header(kEra));
+          }
+          done(std::move(reply));
         }
       });
 }
