List the store again when it was restored from a copy

A restored store gives out its revisions again.

When the era rises, the follower forgets its revision and lists everything again, also between the pages of a listing. The first watch after a failed call does not wait, so that a new era is noticed at once.

--- a/include/peridotfork/discovery/store_follower.h
+++ b/include/peridotfork/discovery/store_follower.h
@@ -47,7 +47,8 @@
 };
 
 // Keeps a FleetDirectory up to date with the store: lists all entries once and then watches for
-// changes. Lists again if the store no longer has the history after the last revision seen. Must
+// changes. Lists again if the store no longer has the history after the last revision seen, or was
+// restored from a copy. Must
 // not be destroyed before its pool has stopped. Thread-safe.
 class StoreFollower {
  public:
@@ -83,6 +84,8 @@
   // Takes the era of a reply. Returns whether the store was restored from a copy since the last
   // one. Requires the lock.
   bool ObserveEra(const StoreReply& reply);
+  // Forgets the pages of a listing in progress. Requires the lock.
+  void ResetListing();
   void OnFailure(const Error& error);
   // Delay before the next call after `call_time`, the duration of the failed call. Requires the
   // lock.
--- a/src/discovery/freshness.cc
+++ b/src/discovery/freshness.cc
@@ -37,10 +37,13 @@
 }
 
 milliseconds Freshness::NextWatchDuration(BootTime now) const {
-  if (unlimited()) {
-    return options_.watch_duration;
+  // After a failure, how much has changed is asked for at once: the store may have been restored
+  // from a copy, which a watch that waits would show only at its end.
+  if (failed_) {
+    return kMinWatch;
   }
-  return failed_ ? kMinWatch : std::clamp(TimeLeft(now), kMinWatch, options_.watch_duration);
+  return unlimited() ? options_.watch_duration
+                     : std::clamp(TimeLeft(now), kMinWatch, options_.watch_duration);
 }
 
 milliseconds Freshness::NextBatchDelay(BootTime now) const {
--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -71,13 +71,18 @@
   {
     const RankedLock lock(mutex_);
     OnAnswered();
-    ObserveEra(reply);
-    // The pages do not form a consistent snapshot. The watch therefore starts at the revision of
-    // the first page, and repeats the changes made during the listing.
-    listing_revision_ = listing_revision_.value_or(reply.revision);
-    std::ranges::move(reply.changes, std::back_inserter(listed_changes_));
-    next_page_ = reply.next_page;
-    complete = next_page_.empty();
+    const bool is_first_page = !listing_revision_;
+    if (ObserveEra(reply) && !is_first_page) {
+      // The pages so far are of the era before.
+      ResetListing();
+    } else {
+      // The pages do not form a consistent snapshot. The watch therefore starts at the revision of
+      // the first page, and repeats the changes made during the listing.
+      listing_revision_ = listing_revision_.value_or(reply.revision);
+      std::ranges::move(reply.changes, std::back_inserter(listed_changes_));
+      next_page_ = reply.next_page;
+      complete = next_page_.empty();
+    }
     if (complete) {
       directory_.Replace(listed_changes_);
       revision_ = std::exchange(listing_revision_, std::nullopt);
@@ -120,12 +125,20 @@
   const StoreReply& reply = result.value();
   LogFaults(reply);
   std::chrono::milliseconds delay{0};
+  bool list = false;
   {
     const RankedLock lock(mutex_);
     OnAnswered();
-    ObserveEra(reply);
-    revision_ = std::max(reply.revision, revision_.value_or(StoreRevision(0)));
-    if (!reply.changes.empty()) {
+    list = ObserveEra(reply);
+    if (list) {
+      // The revision that was watched is one of the era before: changes may be missing from the
+      // reply.
+      revision_.reset();
+      ResetListing();
+    } else {
+      revision_ = std::max(reply.revision, revision_.value_or(StoreRevision(0)));
+    }
+    if (!list && !reply.changes.empty()) {
       const CataloguePtr before = directory_.catalogue();
       directory_.Apply(reply.changes);
       const CataloguePtr& after = directory_.catalogue();
@@ -142,7 +155,9 @@
       delay = freshness_.NextBatchDelay(clock_.now());
     }
   }
-  if (delay == std::chrono::milliseconds(0)) {
+  if (list) {
+    ListPage();
+  } else if (delay == std::chrono::milliseconds(0)) {
     WatchNext();
   } else {
     pool_.After(delay, [this] { WatchNext(); });
@@ -177,6 +192,12 @@
   return true;
 }
 
+void StoreFollower::ResetListing() {
+  listed_changes_.clear();
+  listing_revision_.reset();
+  next_page_.clear();
+}
+
 void StoreFollower::OnFailure(const Error& error) {
   ++failures_;
   const bool history_gone = error.kind() == ErrorKind::kStaleRevision;
@@ -196,9 +217,7 @@
     freshness_.OnFailed();
     list = !revision_;
     if (list) {
-      listed_changes_.clear();
-      listing_revision_.reset();
-      next_page_.clear();
+      ResetListing();
     }
   }
   log_.Warning("A call to the store failed.", {{"error", ToString(error)},
--- a/test/discovery/store_follower_test.cc
+++ b/test/discovery/store_follower_test.cc
@@ -119,6 +119,49 @@
   CHECK(fixture.sizes == std::vector<std::size_t>{2, 1});
 }
 
+StoreReply ReplyOf(std::uint64_t era,
+                   std::uint64_t revision,
+                   std::vector<StoreChange> changes = {}) {
+  StoreReply reply = Reply(revision, std::move(changes));
+  reply.era = StoreEra(era);
+  return reply;
+}
+
+TEST_CASE("changes are not missed if a restored store has given out the watched revision again") {
+  Fixture fixture;
+  fixture.store.Add(ReplyOf(1, 10, {Target("a")}));
+  fixture.store.Add(MakeError(ErrorKind::kTransport));
+  fixture.store.Add(ReplyOf(2, 11, {Target("c")}));
+  fixture.store.Add(ReplyOf(2, 11, {Target("a"), Target("b"), Target("c")}));
+  fixture.store.Add(ReplyOf(2, 12));
+  const auto calls = fixture.Run(6);
+  CHECK(calls ==
+        std::vector<std::string>{"list ", "watch 10", "watch 10", "list ", "watch 11", "watch 12"});
+  CHECK(fixture.sizes == std::vector<std::size_t>{1, 3});
+}
+
+TEST_CASE("a watch goes on from the lower revision of a restored store") {
+  Fixture fixture;
+  fixture.store.Add(ReplyOf(1, 10, {Target("a")}));
+  fixture.store.Add(MakeError(ErrorKind::kStaleRevision));
+  fixture.store.Add(ReplyOf(2, 7, {Target("a")}));
+  fixture.store.Add(ReplyOf(2, 8));
+  const auto calls = fixture.Run(5);
+  CHECK(calls == std::vector<std::string>{"list ", "watch 10", "list ", "watch 7", "watch 8"});
+}
+
+TEST_CASE("a listing whose pages are of two eras restarts from the first page") {
+  Fixture fixture;
+  StoreReply first = ReplyOf(1, 10, {Target("a")});
+  first.next_page = "servers/a";
+  fixture.store.Add(first);
+  fixture.store.Add(ReplyOf(2, 6, {Target("b")}));
+  fixture.store.Add(ReplyOf(2, 6, {Target("b")}));
+  const auto calls = fixture.Run(4);
+  CHECK(calls == std::vector<std::string>{"list ", "list servers/a", "list ", "watch 6"});
+  CHECK(fixture.sizes == std::vector<std::size_t>{1});
+}
+
 TEST_CASE("failed calls are retried, watches from where they were") {
   Fixture fixture;
   fixture.store.Add(MakeError(ErrorKind::kUnavailable));
--- a/test/platform/store_client_test.cc
+++ b/test/platform/store_client_test.cc
@@ -121,11 +121,13 @@
     queries.push_back(request.query);
     http::Response response = http::JsonResponse(body);
     response.status = status;
+    response.headers = headers;
     respond(std::move(response));
   }
 
   unsigned status = 200;
   std::string body = Range("");
+  std::vector<std::pair<std::string, std::string>> headers;
   std::vector<std::string> paths;
   std::vector<std::map<std::string, std::string>> queries;
 };
@@ -136,6 +138,26 @@
   return promise.get_future().get();
 }
 
+TEST_CASE("the era of the store is read from a field of its replies") {
+  WorkerPool pool(1);
+  FixedStore store;
+  http::Server server(pool.context(), {}, store);
+  REQUIRE(server.Listen(Address("127.0.0.1:0")).has_value());
+  StoreClient client(pool.context(), server.address());
+  const auto era = [&](const std::string& text) {
+    store.headers = {{"store-era", text}};
+    return Wait([&](MetadataStore::Callback done) { client.List("", std::move(done)); })
+        .value()
+        .era;
+  };
+  CHECK(era("3") == StoreEra(3));
+  for (const char* none : {"", "-1", "3a", "99999999999999999999"}) {
+    CAPTURE(none);
+    CHECK_FALSE(era(none).has_value());
+  }
+  pool.Stop();
+}
+
 TEST_CASE("HTTP status codes of the store are mapped to error kinds") {
   WorkerPool pool(1);
   FixedStore store;
