Don't take what a restored store lacks or shows again for news

A target that had left since was used again (DRAIN), targets that the copy lacks were dropped although they run, and data centres whose drain the copy lacks were opened (EVAC).

Of the four new cases of fleet_directory_test, two fail without the change (the removed target is back; no target and no drain is kept).

--- a/include/peridotfork/discovery/fleet_directory.h
+++ b/include/peridotfork/discovery/fleet_directory.h
@@ -2,6 +2,7 @@
 #define PERIDOTFORK_DISCOVERY_FLEET_DIRECTORY_H_
 
 #include <chrono>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -37,7 +38,13 @@
   // following kRemovalGrace are deferred until the end of that time.
   void OnStoreReturned();
 
-  // Removes the targets whose deferred removal is due. Returns whether there were any.
+  // Reports that the store was restored from a copy, before the first listing of its new contents
+  // is applied. What it lacks or shows again is not taken for news, since its writers write again:
+  // a target or drain that is missing is kept for kRemovalGrace, and a target that was removed
+  // stays so until it reports anew.
+  void OnStoreRestored();
+
+  // Removes the targets and drains whose deferred removal is due. Returns whether there were any.
   bool RemoveExpired();
 
   // When RemoveExpired() is due; none if no removal is deferred.
@@ -54,6 +61,10 @@
   void On(const TargetRemoved& change);
   void On(const DataCentreDrain& change);
   void Remove(const TargetId& id);
+  void Erase(const TargetId& id);
+  // Whether the entry says no more than that of a target which was removed.
+  bool IsOfRemoved(const TargetEntry& entry) const;
+  std::set<DataCentreId> ListedDrains(const std::vector<StoreChange>& changes);
   // Whether the target can have started and reported as the entry says. Another writer's entry
   // with a start in the future would make all reports of the real target look older.
   bool IsPlausible(const TargetEntry& entry) const;
@@ -63,8 +74,16 @@
   CataloguePtr catalogue_;
   std::map<TargetId, TargetEntry> targets_;
   std::set<DataCentreId> drained_;
-  // Targets whose removal is deferred.
+  // Targets and drains whose removal is deferred.
   std::set<TargetId> deferred_removals_;
+  std::set<DataCentreId> deferred_drain_ends_;
+  // The last entries of targets that were removed a short time ago, oldest first.
+  struct RemovedTarget {
+    TargetEntry entry;
+    BootTime at;
+  };
+  std::deque<RemovedTarget> removed_;
+  bool restored_ = false;
   std::optional<BootTime> grace_end_;
 };
 
--- a/src/discovery/fleet_directory.cc
+++ b/src/discovery/fleet_directory.cc
@@ -1,6 +1,7 @@
 #include "peridotfork/discovery/fleet_directory.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace peridotfork {
@@ -11,6 +12,10 @@
 // A clock that shows an earlier time, 45 years after the epoch, is not set.
 constexpr std::chrono::hours kEarliestClock{24 * 365 * 45};
 
+// A copy from which the store is restored is seconds old.
+constexpr std::chrono::minutes kMaxCopyAge{2};
+constexpr std::size_t kMaxRemoved = 65536;
+
 // Whether `entry` is an older report than `known` of the same target.
 bool IsOlder(const TargetEntry& entry, const TargetEntry& known) {
   if (entry.started_ms != known.started_ms) {
@@ -40,12 +45,9 @@
 
 void FleetDirectory::Replace(const std::vector<StoreChange>& changes) {
   std::set<TargetId> listed;
-  std::set<DataCentreId> drained;
   for (const StoreChange& change : changes) {
     if (const auto* reported = std::get_if<TargetReported>(&change)) {
       listed.insert(reported->entry.id);
-    } else if (const auto* drain = std::get_if<DataCentreDrain>(&change)) {
-      drained.insert(drain->data_centre);
     }
   }
   std::vector<TargetId> missing;
@@ -60,27 +62,57 @@
   for (const TargetId& id : missing) {
     Remove(id);
   }
-  drained_ = std::move(drained);
-  Apply(changes);
+  drained_ = ListedDrains(changes);
+  if (!std::exchange(restored_, false)) {
+    Apply(changes);
+    return;
+  }
+  std::vector<StoreChange> news = changes;
+  std::erase_if(news, [this](const StoreChange& change) {
+    const auto* const reported = std::get_if<TargetReported>(&change);
+    return reported != nullptr && IsOfRemoved(reported->entry);
+  });
+  Apply(news);
+}
+
+std::set<DataCentreId> FleetDirectory::ListedDrains(const std::vector<StoreChange>& changes) {
+  std::set<DataCentreId> listed;
+  for (const StoreChange& change : changes) {
+    if (const auto* drain = std::get_if<DataCentreDrain>(&change)) {
+      listed.insert(drain->data_centre);
+    }
+  }
+  if (restored_) {
+    std::ranges::set_difference(drained_, listed,
+                                std::inserter(deferred_drain_ends_, deferred_drain_ends_.end()));
+  }
+  listed.insert(deferred_drain_ends_.begin(), deferred_drain_ends_.end());
+  return listed;
 }
 
 void FleetDirectory::OnStoreReturned() {
   grace_end_ = clock_.now() + kRemovalGrace;
 }
 
+void FleetDirectory::OnStoreRestored() {
+  OnStoreReturned();
+  restored_ = true;
+}
+
 bool FleetDirectory::RemoveExpired() {
   if (!grace_end_ || clock_.now() < *grace_end_) {
     return false;
   }
   grace_end_.reset();
-  for (const TargetId& id : deferred_removals_) {
-    targets_.erase(id);
-  }
-  return !std::exchange(deferred_removals_, {}).empty();
+  const std::set<TargetId> targets = std::exchange(deferred_removals_, {});
+  const std::set<DataCentreId> drains = std::exchange(deferred_drain_ends_, {});
+  std::ranges::for_each(targets, [this](const TargetId& id) { Erase(id); });
+  std::ranges::for_each(drains, [this](const DataCentreId& id) { drained_.erase(id); });
+  return !targets.empty() || !drains.empty();
 }
 
 std::optional<BootTime> FleetDirectory::next_removal() const {
-  return deferred_removals_.empty() ? std::nullopt : grace_end_;
+  return deferred_removals_.empty() && deferred_drain_ends_.empty() ? std::nullopt : grace_end_;
 }
 
 std::vector<TargetEntry> FleetDirectory::targets() const {
@@ -130,6 +162,7 @@
 }
 
 void FleetDirectory::On(const DataCentreDrain& change) {
+  deferred_drain_ends_.erase(change.data_centre);
   if (change.drained) {
     drained_.insert(change.data_centre);
   } else {
@@ -142,11 +175,36 @@
   if (in_grace && targets_.contains(id)) {
     deferred_removals_.insert(id);
   } else {
-    targets_.erase(id);
+    Erase(id);
     deferred_removals_.erase(id);
   }
 }
 
+void FleetDirectory::Erase(const TargetId& id) {
+  const auto known = targets_.find(id);
+  if (known == targets_.end()) {
+    return;
+  }
+  const BootTime now = clock_.now();
+  removed_.push_back({std::move(known->second), now});
+  targets_.erase(known);
+  while (now - removed_.front().at > kMaxCopyAge || removed_.size() > kMaxRemoved) {
+    removed_.pop_front();
+  }
+}
+
+bool FleetDirectory::IsOfRemoved(const TargetEntry& entry) const {
+  // The last one counts: a target may have been removed several times.
+  const auto found = std::ranges::find(removed_.rbegin(), removed_.rend(), entry.id,
+                                       [](const RemovedTarget& target) { return target.entry.id; });
+  if (found == removed_.rend() || targets_.contains(entry.id)) {
+    return false;
+  }
+  const bool is_repeated =
+      entry.started_ms == found->entry.started_ms && entry.sequence == found->entry.sequence;
+  return is_repeated || IsOlder(entry, found->entry);
+}
+
 bool FleetDirectory::IsMassRemoval(const std::vector<TargetId>& removed) const {
   std::size_t unannounced = 0;
   for (const TargetId& id : removed) {
--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -189,6 +189,7 @@
                 {"era_before", std::to_string(before->value())},
                 {"revision", std::to_string(reply.revision.value())},
                 {"revision_before", revision_ ? std::to_string(revision_->value()) : ""}});
+  directory_.OnStoreRestored();
   return true;
 }
 
--- a/test/discovery/fleet_directory_test.cc
+++ b/test/discovery/fleet_directory_test.cc
@@ -154,5 +154,63 @@
   CHECK(directory.drained().empty());
 }
 
+TEST_CASE("a restored store brings back no target that was removed or is draining") {
+  ManualClock clock;
+  FleetDirectory directory(clock);
+  TargetEntry draining = Entry("draining", 100, 8);
+  draining.draining = true;
+  directory.Apply({TargetReported{Entry("gone", 100, 7)}, TargetReported{draining}});
+  directory.Apply({TargetRemoved{TargetId("gone")}});
+  const std::vector<StoreChange> copy = {TargetReported{Entry("gone", 100, 7)},
+                                         TargetReported{Entry("draining", 100, 6)}};
+  directory.OnStoreRestored();
+  directory.Replace(copy);
+  REQUIRE(directory.targets().size() == 1);
+  CHECK(directory.targets().front().draining);
+  // It was alive after all.
+  directory.Apply({TargetReported{Entry("gone", 100, 8)}});
+  CHECK(directory.targets().size() == 2);
+}
+
+TEST_CASE("a target that restarted after its removal is in use after a restore") {
+  ManualClock clock;
+  FleetDirectory directory(clock);
+  directory.Apply({TargetReported{Entry("a", 100, 7)}});
+  directory.Apply({TargetRemoved{TargetId("a")}});
+  directory.OnStoreRestored();
+  directory.Replace({TargetReported{Entry("a", 200, 1)}});
+  CHECK(directory.targets().size() == 1);
+}
+
+TEST_CASE("targets and drains that a restored store lacks are kept until they are written again") {
+  ManualClock clock;
+  FleetDirectory directory(clock);
+  const DataCentreId kept("kept");
+  const DataCentreId ended("ended");
+  directory.Apply({TargetReported{Entry("a", 100, 7)}, TargetReported{Entry("b", 100, 7)},
+                   DataCentreDrain{kept, true}, DataCentreDrain{ended, true}});
+  directory.OnStoreRestored();
+  directory.Replace({});
+  CHECK(directory.targets().size() == 2);
+  CHECK(directory.drained() == std::set{kept, ended});
+  REQUIRE(directory.next_removal());
+  directory.Apply({TargetReported{Entry("a", 100, 8)}, DataCentreDrain{kept, true}});
+  clock.Advance(FleetDirectory::kRemovalGrace);
+  CHECK(directory.RemoveExpired());
+  CHECK(directory.targets().size() == 1);
+  CHECK(directory.drained() == std::set{kept});
+}
+
+TEST_CASE("a drain that ends after a restore ends at once") {
+  ManualClock clock;
+  FleetDirectory directory(clock);
+  const DataCentreId drained("a");
+  directory.Apply({DataCentreDrain{drained, true}});
+  directory.OnStoreRestored();
+  directory.Replace({});
+  directory.Apply({DataCentreDrain{drained, false}});
+  CHECK(directory.drained().empty());
+}
+
 }  // namespace
 }  // namespace peridotfork
