Take an answer whose status is none of HTTP for a lost attempt

Reported by other operators: a target in trouble sent an answer with status 000, and the client got it. Here 000 to 099 were skipped like an interim response, so that the attempt lasted until its deadline and the client got 504; 600 to 999 were taken for an answer and passed on.

Statuses outside 100 to 599 now end the attempt as lost at once, so that a request that may be repeated is sent to another target.

The new case of connection_test failed before: with 000 no result within 2 s.

--- a/src/upstream/connection.cc
+++ b/src/upstream/connection.cc
@@ -28,6 +28,9 @@
 constexpr std::chrono::seconds kDefaultIdleTimeout{4};
 // Idle connections are closed this long before the timeout that the target announces.
 constexpr std::chrono::milliseconds kIdleMargin{700};
+// Range of the statuses that HTTP defines (RFC 9110, section 15).
+constexpr unsigned kMinStatus = 100;
+constexpr unsigned kMaxStatus = 599;
 constexpr std::size_t kReadSize = 16384;
 // Maximum size of the header of an answer.
 constexpr std::uint32_t kMaxHeader = 16384;
@@ -293,6 +296,10 @@
 void Connection::OnMessage() {
   http::RawResponse response = parser_->release();
   parser_.reset();
+  if (response.result_int() < kMinStatus || response.result_int() > kMaxStatus) {
+    Finish(ExchangeState::kLost, "the status is not one of HTTP");
+    return;
+  }
   const bool informational = response.result_int() < 200;
   if (informational || !exchange_->matches(response)) {
     if (++skipped_messages_ > kMaxSkippedMessages) {
--- a/test/upstream/connection_test.cc
+++ b/test/upstream/connection_test.cc
@@ -204,6 +204,20 @@
   }
 }
 
+TEST_CASE("an answer whose status is none of HTTP counts as lost at once") {
+  for (const std::string status : {"000", "001", "099", "600", "999"}) {
+    CAPTURE(status);
+    Fixture fixture([&status](const std::string&) -> TargetAction {
+      return {"HTTP/1.1 " + status +
+              " OK\r\nRequest-Id: a\r\nResponse-Stamp: s\r\nContent-Length: 3\r\n\r\nown"};
+    });
+    Fixture::Started started = fixture.Start("a");
+    REQUIRE(started.result.wait_for(std::chrono::seconds(2)) == std::future_status::ready);
+    CHECK(started.result.get().state == ExchangeState::kLost);
+    CHECK(fixture.connections.size() == 0);
+  }
+}
+
 TEST_CASE("bytes after an answer are not read without end") {
   Fixture fixture([](const std::string& header) -> TargetAction {
     return {Answer(FieldOf(header, "Request-Id"), "own"), milliseconds(0), After::kClose,
