Restore the store from a copy in the soak, and describe what follows from it

The soak's store gives its era with each answer and comes back from a copy of 0.5 to 6 s ago, with changes while it is away; targets and the operator write again. The sequence of the fault is apart from the main one, so that earlier seeds play as before.

--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -18,6 +18,14 @@
 # Faults of targets that tell hosts to stay away, or send without end; see push_back().
 PUSH_BACK_FAULTS = ("pause", "flood", "leaving")
 PUSH_BACK = "push_back"
+RESTORE = "store_restored"
+# Faults with a sequence of their own, so that earlier seeds still give the same main sequence.
+SEPARATE = (PUSH_BACK, RESTORE)
+# Time from a copy of the store until it is restored, and until the operator writes again.
+COPY_AGE_S = (0.5, 6.0)
+WRITE_AGAIN_S = (0.0, 1.5)
+# An entry lapses this long after a restore if nobody writes it again.
+LAPSE_S = 3.0
 BLACKHOLE_DIRECTIONS = (("up", "down"), ("up",), ("down",))
 ADDRESS_REUSE_DELAY_S = 2.0
 # Bound for a host to handle a signal or to detect changed settings.
@@ -32,16 +40,18 @@
         self.random = fleet.random
         self.ledger = fleet.ledger
         self.running = set()
-        # Separate from the main sequence, so that earlier seeds still give the same faults.
-        self.push_back_random = random.Random(fleet.random.getstate()[1][0])
+        self.separate_random = {
+            kind: random.Random(fleet.random.getstate()[1][number])
+            for number, kind in enumerate(SEPARATE)}
 
     async def run(self, seconds, kinds):
         """Starts faults for `seconds`, then waits until all have been removed."""
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
-        if PUSH_BACK in kinds:
-            self.running.add(asyncio.ensure_future(self.push_back(end)))
-        kinds = [kind for kind in kinds if kind != PUSH_BACK]
+        for kind in SEPARATE:
+            if kind in kinds:
+                self.running.add(asyncio.ensure_future(getattr(self, kind)(end)))
+        kinds = [kind for kind in kinds if kind not in SEPARATE]
         while kinds and loop.time() < end:
             name = self.random.choice(kinds)
             print(f"{loop.time() - self.ledger.start:8.3f} fault {name}", flush=True)
@@ -98,7 +108,7 @@
     async def push_back(self, end):
         """Lets a few targets at a time ask for a pause, say that they leave, or flood."""
         loop = asyncio.get_running_loop()
-        choose = self.push_back_random
+        choose = self.separate_random[PUSH_BACK]
         while loop.time() < end:
             live = self.fleet.live_targets(self.fleet.services_in_use())
             targets = choose.sample(live, min(len(live), choose.randint(1, 4)))
@@ -164,6 +174,45 @@
         self.ledger.disturb("store", 0.0)
         self.fleet.store.drop_history()
 
+    async def store_restored(self, end):
+        """Restores the store from copies, beside changes; what was written since is written again."""
+        loop = asyncio.get_running_loop()
+        choose = self.separate_random[RESTORE]
+        store = self.fleet.store
+        while loop.time() < end:
+            copy = store.copy()
+            await asyncio.sleep(choose.uniform(*COPY_AGE_S))
+            away_s = choose.uniform(0.3, 3.0)
+            write_again_s = choose.uniform(*WRITE_AGAIN_S)
+            print(f"{loop.time() - self.ledger.start:8.3f} fault {RESTORE}", flush=True)
+            self.ledger.disturb("store", away_s + write_again_s)
+            # Restored first: what is written while it is away may take its revision past the old one.
+            store.restore(copy)
+            store.down = choose.choice(STORE_DOWN)
+            await asyncio.sleep(write_again_s)
+            self._write_again()
+            if choose.random() < 0.5:
+                self.fleet.publish()
+            await asyncio.sleep(away_s)
+            store.down = None
+            loop.call_later(LAPSE_S, self._remove_lapsed)
+
+    def _write_again(self):
+        store = self.fleet.store
+        store.put("op/config", self.fleet.configuration.text())
+        for zone in ZONES:
+            key = f"op/evacuate/{zone}"
+            if any(entry[0] == zone and entry[2] is None for entry in self.ledger.evacuations):
+                store.put(key, {})
+            else:
+                store.remove(key)
+
+    def _remove_lapsed(self):
+        live = {f"servers/{target.id}" for target in self.fleet.targets.values()}
+        for key in [key for key in self.fleet.store.items if key.startswith("servers/")]:
+            if key not in live:
+                self.fleet.store.remove(key)
+
     async def foreign_entries(self):
         for value in (b"\xff\x00 no JSON", b'{"backend": 3}', b'{"backend": "one"}', b"[]", b""):
             self.fleet.store.put(f"servers/foreign-{self.random.randrange(5)}", value)
@@ -317,7 +366,7 @@
 # The kinds of the main sequence of faults, which a seed determines by their order.
 KINDS = {name: method for name, method in vars(Faults).items()
          if asyncio.iscoroutinefunction(method) and not name.startswith("_")
-         and name not in ("run", PUSH_BACK)}
+         and name not in ("run", *SEPARATE)}
 
 
 async def probe_versions(fleet):
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -14,7 +14,7 @@
 import time
 
 from callers import Caller
-from faults import KINDS, PUSH_BACK, Faults, probe_versions
+from faults import KINDS, SEPARATE, Faults, probe_versions
 from fleet import MAX_MEMORY_KB, ZONES, Fleet
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -105,13 +105,13 @@
     parser.add_argument("--seconds", type=float, default=20.0,
                         help="time with faults for each seed")
     parser.add_argument("--hosts", type=int, default=4, help="number of gateway processes")
-    parser.add_argument("--kinds", default=",".join([*KINDS, PUSH_BACK]),
+    parser.add_argument("--kinds", default=",".join([*KINDS, *SEPARATE]),
                         help="faults, separated by commas")
     args = parser.parse_args()
     args.kinds = args.kinds.split(",")
-    unknown = [kind for kind in args.kinds if kind not in KINDS and kind != PUSH_BACK]
+    unknown = [kind for kind in args.kinds if kind not in KINDS and kind not in SEPARATE]
     if unknown:
-        parser.error(f"unknown faults {unknown}; known: {', '.join([*KINDS, PUSH_BACK])}")
+        parser.error(f"unknown faults {unknown}; known: {', '.join([*KINDS, *SEPARATE])}")
     return args
 
 
--- a/test/soak/store.py
+++ b/test/soak/store.py
@@ -18,6 +18,7 @@
         self.items = {}  # key -> (value, revision, created)
         self.history = []  # (revision, key), oldest first
         self.dropped_up_to = 0  # newest revision whose history was discarded
+        self.era = 1
         self.changed = asyncio.Condition()
         self.server = None
         self.port = None
@@ -51,6 +52,17 @@
         self.history.clear()
         self.dropped_up_to = self.revision
 
+    def copy(self):
+        return dict(self.items), self.revision
+
+    def restore(self, copy):
+        """Comes back from a copy; revisions after it are given out again."""
+        items, self.revision = copy
+        self.items = dict(items)
+        self.history = [entry for entry in self.history if entry[0] <= self.revision]
+        self.era += 1
+        asyncio.ensure_future(self._notify_watchers())
+
     def _record_change(self, key):
         self.history.append((self.revision, key))
         asyncio.ensure_future(self._notify_watchers())
@@ -84,7 +96,8 @@
             status, body = (429, {}) if self.down == "many" else (503, {})
         else:
             status, body = await self._read(request)
-        writer.write(encode(f"HTTP/1.1 {status} X", [("Content-Type", "application/json")],
+        writer.write(encode(f"HTTP/1.1 {status} X",
+                            [("Content-Type", "application/json"), ("Store-Era", str(self.era))],
                             json.dumps(body).encode()))
         await writer.drain()
         return True
@@ -112,7 +125,7 @@
     async def _watch(self, prefix, after, wait_ms):
         end = time.monotonic() + min(wait_ms, MAX_WAIT_MS) / 1000
         while True:
-            if after < self.dropped_up_to:
+            if after < self.dropped_up_to or after > self.revision:
                 return 410, {}
             keys = [(revision, key) for revision, key in self.history
                     if revision > after and key.startswith(prefix)]
