Find a removed target by its id

After a restore of the store each listed entry was compared with all targets removed in the last two minutes: 16,000 entries and some thousand removals at the size planned. A map and the order of removals replace the list; same tests.

--- a/include/peridotfork/discovery/fleet_directory.h
+++ b/include/peridotfork/discovery/fleet_directory.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "peridotfork/core/clock.h"
@@ -77,12 +78,13 @@
   // Targets and drains whose removal is deferred.
   std::set<TargetId> deferred_removals_;
   std::set<DataCentreId> deferred_drain_ends_;
-  // The last entries of targets that were removed a short time ago, oldest first.
+  // The last entries of targets that were removed a short time ago, and the order of the removals.
   struct RemovedTarget {
     TargetEntry entry;
     BootTime at;
   };
-  std::deque<RemovedTarget> removed_;
+  std::map<TargetId, RemovedTarget> removed_;
+  std::deque<std::pair<BootTime, TargetId>> removal_order_;
   bool restored_ = false;
   std::optional<BootTime> grace_end_;
 };
--- a/src/discovery/fleet_directory.cc
+++ b/src/discovery/fleet_directory.cc
@@ -186,23 +186,27 @@
     return;
   }
   const BootTime now = clock_.now();
-  removed_.push_back({std::move(known->second), now});
+  removed_.insert_or_assign(id, RemovedTarget{std::move(known->second), now});
+  removal_order_.emplace_back(now, id);
   targets_.erase(known);
-  while (now - removed_.front().at > kMaxCopyAge || removed_.size() > kMaxRemoved) {
-    removed_.pop_front();
+  while (now - removal_order_.front().first > kMaxCopyAge || removal_order_.size() > kMaxRemoved) {
+    const auto [at, oldest] = removal_order_.front();
+    const auto remembered = removed_.find(oldest);
+    if (remembered != removed_.end() && remembered->second.at == at) {
+      removed_.erase(remembered);
+    }
+    removal_order_.pop_front();
   }
 }
 
 bool FleetDirectory::IsOfRemoved(const TargetEntry& entry) const {
-  // The last one counts: a target may have been removed several times.
-  const auto found = std::ranges::find(removed_.rbegin(), removed_.rend(), entry.id,
-                                       [](const RemovedTarget& target) { return target.entry.id; });
-  if (found == removed_.rend() || targets_.contains(entry.id)) {
+  const auto found = removed_.find(entry.id);
+  if (found == removed_.end() || targets_.contains(entry.id)) {
     return false;
   }
-  const bool is_repeated =
-      entry.started_ms == found->entry.started_ms && entry.sequence == found->entry.sequence;
-  return is_repeated || IsOlder(entry, found->entry);
+  const TargetEntry& last = found->second.entry;
+  const bool is_repeated = entry.started_ms == last.started_ms && entry.sequence == last.sequence;
+  return is_repeated || IsOlder(entry, last);
 }
 
 bool FleetDirectory::IsMassRemoval(const std::vector<TargetId>& removed) const {
--- a/src/discovery/freshness.cc
+++ b/src/discovery/freshness.cc
@@ -37,8 +37,8 @@
 }
 
 milliseconds Freshness::NextWatchDuration(BootTime now) const {
-  // After a failure, how much has changed is asked for at once: the store may have been restored
-  // from a copy, which a watch that waits would show only at its end.
+  // After a failure, the store is asked at once what has changed: it may have been restored from a
+  // copy, which a watch that waits for changes would show only at its end.
   if (failed_) {
     return kMinWatch;
   }
