Judge no arrival in the soak after a stall that is not noted yet

A stall invalidates time checks, but arrivals that the loop handles before its stall check runs were still judged.

The time of the last tick is looked at in each check now. The same bound, 0.3 s, applies.

--- a/test/soak/ledger.py
+++ b/test/soak/ledger.py
@@ -23,6 +23,8 @@
 RETRY_SLACK = 54
 RETRY_WINDOW_S = 10.0
 RECORD_BYTES = 16
+# A pause of the event loop above this invalidates time checks on what the soak observed meanwhile.
+STALL_S = 0.3
 # Numbers of requests that the rules of the platform tolerate before a check fails.
 GONE_ALLOWED = 3
 PAUSE_ARRIVALS_ALLOWED = 2
@@ -68,6 +70,7 @@
 class Ledger:
     def __init__(self):
         self.start = time.monotonic()
+        self.last_tick = self.start  # when the event loop was last seen running
         self.violations = []
         self.counts = defaultdict(int)
         self.sent = {}
@@ -105,7 +108,11 @@
     def host_is_stable(self, host, moment):
         """Whether no recent disturbance of the host, its links, the store or the soak is known."""
         return (self.is_stable(host, moment) and self.is_stable("store", moment)
-                and self.is_stable("soak", moment))
+                and self.is_stable("soak", moment) and not self.is_stalled())
+
+    def is_stalled(self):
+        """Whether a pause of the event loop has just ended that is not recorded as disturbance yet."""
+        return time.monotonic() - self.last_tick > STALL_S
 
     # Configurations.
 
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -28,17 +28,14 @@
 RECOVERY_S = 12.0
 MEASURE_S = 3.0
 MIN_SUCCESS = 0.9
-# A pause of the event loop above this invalidates time checks on what the soak
-# observed meanwhile.
-STALL_S = 0.3
 TICK_S = 0.05
 
 
 async def watch_stalls(fleet):
     while not fleet.stopped:
-        before = time.monotonic()
+        fleet.ledger.last_tick = time.monotonic()
         await asyncio.sleep(TICK_S)
-        if time.monotonic() - before > STALL_S:
+        if fleet.ledger.is_stalled():
             fleet.ledger.counts["stalls"] += 1
             fleet.ledger.disturb("soak", 0.0)
 
