Don't take the first member that a late host hears of for the whole fleet

A host that hears of the others only after its first 10 s, such as one that was cut off at its start, counted the fleet as discovered at the first update, since four times the number of members known is zero then. Its part of a limit that a target names was up to as many times too large as there are hosts.

An update of a new member never ends the discovery now. The new case of swim_test failed before (a bound of 10, 11 and 15 of 25 hosts).

--- a/src/membership/swim.cc
+++ b/src/membership/swim.cc
@@ -222,7 +222,11 @@
   if (discovered_ || clock_.now() - started_ < options_.first_periods_for) {
     return;
   }
-  repeated_updates_ = is_new ? 0 : repeated_updates_ + 1;
+  if (is_new) {
+    repeated_updates_ = 0;
+    return;
+  }
+  ++repeated_updates_;
   discovered_ = repeated_updates_ >=
                 std::min(kUpdatesToDiscover, kUpdatesPerMemberToDiscover * entries_.size());
 }
--- a/test/membership/swim_test.cc
+++ b/test/membership/swim_test.cc
@@ -227,6 +227,21 @@
   }
 }
 
+TEST_CASE("a host that finds the others late does not take the first ones for all") {
+  constexpr std::size_t kHosts = 25;
+  SwimModel model(kHosts);
+  model.connected = [](std::size_t from, std::size_t to) {
+    return from != kHosts - 1 && to != kHosts - 1;
+  };
+  model.Run(std::chrono::seconds(15));
+  model.connected = [](std::size_t, std::size_t) { return true; };
+  for (int i = 0; i < 20; ++i) {
+    model.Run(std::chrono::seconds(1));
+    CHECK(model.SizeBound(kHosts - 1) * 4 >= kHosts * 3);
+  }
+  CHECK(model.SizeBound(kHosts - 1) == kHosts);
+}
+
 TEST_CASE(
     "hosts that are lost or that are leaving count towards the size of the fleet for a while") {
   SwimModel model(12);
