Read on without pauses while a host is behind the store

Cause: the store ends a reply at about 1 MB, and the follower paused for 0.9 s after each reply with changes, also when more was waiting. The log shows replies 1.33 s apart, each of 14 versions, until the newest one. Change: ChangeBacklog decides from the size of a reply whether the store may have left out changes. The follower asks for them at once, pauses only when it has read all, and lists the store when the changes take more replies than a listing. A reply that may lack changes no longer makes API keys count as current.

--- a/include/peridotfork/discovery/freshness.h
+++ b/include/peridotfork/discovery/freshness.h
@@ -21,6 +21,11 @@
 // Not thread-safe.
 class Freshness {
  public:
+  // Time for a reply of the store: milliseconds, and a few hundred while the store is slow.
+  static constexpr std::chrono::milliseconds kReplyAllowance{600};
+  // Shortest watch, which asks for the state of the store at once.
+  static constexpr std::chrono::milliseconds kMinWatch{10};
+
   explicit Freshness(FreshnessOptions options) : options_(options) {}
 
   // Records a complete listing whose first call was made at `start`.
@@ -30,6 +35,9 @@
   // to wait for `wait`. `empty` says that the store had nothing to report.
   void OnWatched(BootTime start, std::chrono::milliseconds wait, bool empty, BootTime end);
 
+  // Records an answer that may lack changes.
+  void OnIncomplete() { failed_ = false; }
+
   // Records a call without an answer: the next watch asks for the state at once.
   void OnFailed() { failed_ = true; }
 
--- a/include/peridotfork/discovery/metadata_store.h
+++ b/include/peridotfork/discovery/metadata_store.h
@@ -45,6 +45,10 @@
   std::vector<StoreChange> changes;
   // The store had nothing to report, not even entries that are ignored here.
   bool empty = false;
+  // For a watch: at least half as large as the store's replies can be. The store may have left out
+  // later changes, which it returns to the next watch at once. A reply that is not long can leave
+  // out only a change that is too large for one reply with it.
+  bool is_long = false;
   // Errors of values that could not be decoded; the rest of the reply is valid.
   std::vector<Error> faults;
   // Revision after which the next watch continues.
@@ -57,8 +61,8 @@
 
 // Reads the store that publishes the configuration and the targets. Each callback runs exactly
 // once, on a worker. Error kinds: kStaleRevision if the requested history is no longer available,
-// kShed if the call rate is exceeded, kUnavailable if the store refuses the call, kTransport and
-// kTimedOut if it can't be reached.
+// kShed if the call rate is exceeded, kTooLarge if a reply exceeds what is accepted, kUnavailable
+// if the store refuses the call, kTransport and kTimedOut if it can't be reached.
 class MetadataStore {
  public:
   using Callback = std::function<void(Result<StoreReply>)>;
--- a/include/peridotfork/discovery/store_follower.h
+++ b/include/peridotfork/discovery/store_follower.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "peridotfork/core/clock.h"
+#include "peridotfork/discovery/change_backlog.h"
 #include "peridotfork/discovery/fleet_directory.h"
 #include "peridotfork/discovery/freshness.h"
 #include "peridotfork/discovery/metadata_store.h"
@@ -32,8 +33,8 @@
   std::chrono::milliseconds watch_duration() const {
     return max_silence - MetadataStore::kReplyTimeout - catch_up;
   }
-  // Delay between a reply with changes and the next watch, so that changes in quick succession
-  // share a call, as a share of `max_silence`.
+  // Delay between the reply with the last of the changes and the next watch, so that changes in
+  // quick succession share a call, as a share of `max_silence`.
   double batch_share = 0.225;
   std::chrono::milliseconds batch_delay() const {
     return std::chrono::duration_cast<std::chrono::milliseconds>(max_silence * batch_share);
@@ -47,9 +48,9 @@
 };
 
 // Keeps a FleetDirectory up to date with the store: lists all entries once and then watches for
-// changes. Lists again if the store no longer has the history after the last revision seen, or was
-// restored from a copy. Must
-// not be destroyed before its pool has stopped. Thread-safe.
+// changes. Lists again if the store no longer has the history after the last revision seen, was
+// restored from a copy, or has more changes to report than a listing has entries. Must not be
+// destroyed before its pool has stopped. Thread-safe.
 class StoreFollower {
  public:
   // Called on a worker after each change, with the directory locked.
@@ -79,7 +80,12 @@
   // Whether the page would be followed by itself, so that the listing would never end.
   bool BeginsNextPageAgain(const StoreReply& reply);
   void WatchNext();
+  void Watch(std::chrono::milliseconds duration);
   void OnChanges(Result<StoreReply> reply);
+  // Applies and publishes the changes. Requires the lock.
+  NextRead ApplyChanges(const StoreReply& reply);
+  // Makes the next call, if it is kPause after `pause`.
+  void Continue(NextRead next, std::chrono::milliseconds pause);
   void OnAnswered();
   // Takes the era of a reply. Returns whether the store was restored from a copy since the last
   // one. Requires the lock.
@@ -116,6 +122,7 @@
   // When the call in progress was started.
   BootTime call_start_;
   Freshness freshness_;
+  ChangeBacklog backlog_;
   // How long the watch in progress waits.
   std::chrono::milliseconds watch_duration_{0};
   // Start of the first call of the listing in progress.
@@ -124,6 +131,7 @@
   std::optional<StoreEra> era_;
   // State of a listing in progress.
   std::optional<StoreRevision> listing_revision_;
+  std::size_t listed_pages_ = 0;
   std::vector<StoreChange> listed_changes_;
   std::string next_page_;
 };
--- a/src/discovery/freshness.cc
+++ b/src/discovery/freshness.cc
@@ -9,10 +9,6 @@
 
 // Before it drops its history, the store may hold changes back from waiting watches for so long.
 constexpr milliseconds kMaxHeldBack{1000};
-// Time for a reply of the store: milliseconds, and a few hundred while the store is slow.
-constexpr milliseconds kReplyAllowance{600};
-// Shortest watch, which asks for the state of the store at once.
-constexpr milliseconds kMinWatch{10};
 
 }  // namespace
 
--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -79,6 +79,7 @@
       // The pages do not form a consistent snapshot. The watch therefore starts at the revision of
       // the first page, and repeats the changes made during the listing.
       listing_revision_ = listing_revision_.value_or(reply.revision);
+      ++listed_pages_;
       std::ranges::move(reply.changes, std::back_inserter(listed_changes_));
       next_page_ = reply.next_page;
       complete = next_page_.empty();
@@ -88,7 +89,8 @@
       revision_ = std::exchange(listing_revision_, std::nullopt);
       log_.Info("Listed the store.", {{"changes", std::to_string(listed_changes_.size())},
                                       {"revision", std::to_string(revision_->value())}});
-      listed_changes_.clear();
+      backlog_.OnListed(listed_pages_);
+      ResetListing();
       Publish();
       freshness_.OnListed(listing_start_);
       current_as_of_ = freshness_.current_as_of();
@@ -102,17 +104,25 @@
 }
 
 void StoreFollower::WatchNext() {
+  std::chrono::milliseconds duration{0};
+  {
+    const RankedLock lock(mutex_);
+    duration = freshness_.NextWatchDuration(clock_.now());
+  }
+  Watch(duration);
+}
+
+void StoreFollower::Watch(std::chrono::milliseconds duration) {
   if (stopped_) {
     return;
   }
   ++calls_;
   StoreRevision after;
-  std::chrono::milliseconds duration{0};
   {
     const RankedLock lock(mutex_);
     call_start_ = clock_.now();
     after = revision_.value_or(StoreRevision(0));
-    watch_duration_ = duration = freshness_.NextWatchDuration(call_start_);
+    watch_duration_ = duration;
   }
   store_.Watch(after, duration, [this](Result<StoreReply> reply) { OnChanges(std::move(reply)); });
 }
@@ -124,43 +134,60 @@
   }
   const StoreReply& reply = result.value();
   LogFaults(reply);
-  std::chrono::milliseconds delay{0};
-  bool list = false;
+  std::chrono::milliseconds pause{0};
+  NextRead next = NextRead::kList;
   {
     const RankedLock lock(mutex_);
     OnAnswered();
-    list = ObserveEra(reply);
-    if (list) {
-      // The revision that was watched is one of the era before: changes may be missing from the
-      // reply.
-      revision_.reset();
-      ResetListing();
+    // In a new era, changes may be missing after the revision that was watched.
+    if (!ObserveEra(reply)) {
+      next = ApplyChanges(reply);
+    }
+    if (next == NextRead::kReadOn || next == NextRead::kList) {
+      freshness_.OnIncomplete();
     } else {
-      revision_ = std::max(reply.revision, revision_.value_or(StoreRevision(0)));
+      freshness_.OnWatched(call_start_, watch_duration_, reply.empty, clock_.now());
+      current_as_of_ = freshness_.current_as_of();
+      pause = freshness_.NextBatchDelay(clock_.now());
     }
-    if (!list && !reply.changes.empty()) {
-      const CataloguePtr before = directory_.catalogue();
-      directory_.Apply(reply.changes);
-      const CataloguePtr& after = directory_.catalogue();
-      if (after != before) {
-        log_.Info("Activated a configuration.",
-                  {{"version", std::to_string(after->version().value())},
-                   {"revision", std::to_string(reply.revision.value())}});
-      }
-      Publish();
+    if (next == NextRead::kList) {
+      revision_.reset();
+      ResetListing();
     }
-    freshness_.OnWatched(call_start_, watch_duration_, reply.empty, clock_.now());
-    current_as_of_ = freshness_.current_as_of();
-    if (!reply.changes.empty()) {
-      delay = freshness_.NextBatchDelay(clock_.now());
+  }
+  Continue(next, pause);
+}
+
+NextRead StoreFollower::ApplyChanges(const StoreReply& reply) {
+  revision_ = std::max(reply.revision, revision_.value_or(StoreRevision(0)));
+  if (!reply.changes.empty()) {
+    const CataloguePtr before = directory_.catalogue();
+    directory_.Apply(reply.changes);
+    const CataloguePtr& after = directory_.catalogue();
+    if (after != before) {
+      log_.Info("Activated a configuration.",
+                {{"version", std::to_string(after->version().value())},
+                 {"revision", std::to_string(reply.revision.value())}});
     }
+    Publish();
+  }
+  const NextRead next = backlog_.OnWatched(reply);
+  if (next == NextRead::kList) {
+    log_.Info("Listing the store, since that takes fewer replies than its changes.",
+              {{"revision", std::to_string(reply.revision.value())}});
   }
-  if (list) {
+  return next;
+}
+
+void StoreFollower::Continue(NextRead next, std::chrono::milliseconds pause) {
+  if (next == NextRead::kList) {
     ListPage();
-  } else if (delay == std::chrono::milliseconds(0)) {
-    WatchNext();
+  } else if (next == NextRead::kReadOn) {
+    Watch(Freshness::kMinWatch);
+  } else if (next == NextRead::kPause && pause > std::chrono::milliseconds(0)) {
+    pool_.After(pause, [this] { WatchNext(); });
   } else {
-    pool_.After(delay, [this] { WatchNext(); });
+    WatchNext();
   }
 }
 
@@ -195,6 +222,7 @@
 
 void StoreFollower::ResetListing() {
   listed_changes_.clear();
+  listed_pages_ = 0;
   listing_revision_.reset();
   next_page_.clear();
 }
--- a/test/discovery/store_follower_test.cc
+++ b/test/discovery/store_follower_test.cc
@@ -216,5 +216,54 @@
   CHECK(fixture.sizes == std::vector<std::size_t>{1});
 }
 
+// Guards against a host that is cut off while large configurations come, and serves by an old one
+// for seconds after it has reached the store again.
+TEST_CASE("a follower that is behind has the newest configuration without pauses") {
+  const auto version = [](std::uint64_t number) {
+    StoreReply reply =
+        Reply(10 + number,
+              {CataloguePublished{CataloguePtr(new Catalogue(Revision(number), {}, {}, {}))}});
+    reply.is_long = true;
+    return reply;
+  };
+  Fixture fixture(FollowerOptions{});
+  StoreReply first = Reply(10, {Target("a")});
+  first.next_page = "servers/a";
+  fixture.store.Add(first);
+  fixture.store.Add(Reply(10, {Target("b")}));
+  fixture.store.Add(MakeError(ErrorKind::kTransport));
+  for (const std::uint64_t number : {1, 2, 3}) {
+    fixture.store.Add(version(number));
+  }
+  fixture.store.Add(version(13));
+  const auto begin = std::chrono::steady_clock::now();
+  const auto calls = fixture.Run(8);
+  CHECK(std::chrono::steady_clock::now() - begin < fixture.options.batch_delay());
+  CHECK(calls == std::vector<std::string>{"list ", "list servers/a", "watch 10", "watch 10",
+                                          "watch 11", "watch 12", "list ", "watch 23"});
+}
+
+// Guards against API keys that are taken for current although the store has left out a newer
+// configuration.
+TEST_CASE("a reply that may be incomplete does not make what is known current") {
+  ManualClock clock;
+  Logger log("test", clock);
+  WorkerPool pool(1);
+  ScriptedStore store(pool);
+  StoreReply changes = Reply(11, {Target("a")});
+  changes.is_long = true;
+  store.Add(Reply(10));
+  store.Add(changes);
+  // The watch begins a second after the listing.
+  StoreFollower follower(pool, clock, store, log,
+                         [&](const FleetDirectory&) { clock.Advance(std::chrono::seconds(1)); });
+  const BootTime listed = clock.now();
+  follower.Start();
+  store.WaitForCalls(3);
+  CHECK(follower.current_as_of() == listed);
+  follower.Stop();
+  pool.Stop();
+}
+
 }  // namespace
 }  // namespace peridotfork
--- a/test/platform/store_client_test.cc
+++ b/test/platform/store_client_test.cc
@@ -65,6 +65,21 @@
   CHECK_FALSE(std::get<DataCentreDrain>(reply.value().changes[1]).drained);
 }
 
+TEST_CASE("a reply that the store may have cut short is long") {
+  const auto is_long = [](std::size_t items, std::size_t value_size) {
+    std::string events;
+    for (std::size_t i = 0; i < items; ++i) {
+      events += (i == 0 ? "" : ",") + Item("other/key", std::string(value_size, 'A'));
+    }
+    return DecodeEvents(R"({"events":[)" + events + R"(],"current_rev":7})").value().is_long;
+  };
+  CHECK_FALSE(is_long(0, 0));
+  CHECK_FALSE(is_long(1, 400'000));
+  CHECK_FALSE(is_long(200, 400));
+  CHECK(is_long(1, 600'000));
+  CHECK(is_long(480, 8));
+}
+
 TEST_CASE("an unreadable entry gives no target and does not affect the others") {
   for (const std::string& value :
        {std::string("!!!"), std::string("abc"), std::string("a"), std::string("YWJjYQ"),
