Count the hold of removals from the outage that it answers

Cause: a reply that removes a fifth of all targets began a hold of 2.2 s at the time of the reply, which may come 0.9 s after the removals: 3.1 s where 3 s are allowed. The store had answered 0.9 s before, so no entry could have expired in an outage between. Change: the hold counts from the end of the last call of 0.6 s or more, in which alone an outage can have gone unnoticed. Why it works: a removal is either read within that hold and takes effect at its end, 2.2 s after an event that is no later than the removal, or it is read later and takes effect at once.

--- a/include/peridotfork/discovery/fleet_directory.h
+++ b/include/peridotfork/discovery/fleet_directory.h
@@ -22,13 +22,21 @@
   // during the outage reports again within two seconds of the recovery; the remainder covers the
   // delay of the watch.
   static constexpr std::chrono::milliseconds kRemovalGrace{2200};
+  // A call of this duration may have met an outage of the store that went unnoticed. A store that
+  // answers without waiting for a change takes less.
+  static constexpr std::chrono::milliseconds kMinHiddenOutage{600};
   // If one reply removes at least this many targets that were not draining, and at least this
-  // share of all targets, their entries are assumed to have expired during a store outage.
+  // share of all targets, soon after such a call, their entries are assumed to have expired during
+  // an outage.
   static constexpr std::size_t kMassRemovalCount = 4;
   static constexpr double kMassRemovalShare = 0.2;
 
   explicit FleetDirectory(const Clock& clock);
 
+  // Reports a reply of the store to a call of `duration`, before the reply is applied. Until the
+  // first one, each reply may follow an outage.
+  void OnReply(std::chrono::nanoseconds duration);
+
   // Applies one reply of a watch.
   void Apply(const std::vector<StoreChange>& changes);
 
@@ -69,6 +77,9 @@
   // Whether the target can have started and reported as the entry says. Another writer's entry
   // with a start in the future would make all reports of the real target look older.
   bool IsPlausible(const TargetEntry& entry) const;
+  // Defers removals if so many of them suggest an outage that went unnoticed. Its end, and not the
+  // time of this reply, begins kRemovalGrace: otherwise the delay of the reply would add to it.
+  void CheckForHiddenOutage(const std::vector<TargetId>& removed);
   bool IsMassRemoval(const std::vector<TargetId>& removed) const;
 
   const Clock& clock_;
@@ -86,6 +97,8 @@
   std::map<TargetId, RemovedTarget> removed_;
   std::deque<std::pair<BootTime, TargetId>> removal_order_;
   bool restored_ = false;
+  // When the last outage that may have gone unnoticed had ended.
+  std::optional<BootTime> hidden_outage_end_;
   std::optional<BootTime> grace_end_;
 };
 
--- a/src/discovery/fleet_directory.cc
+++ b/src/discovery/fleet_directory.cc
@@ -28,6 +28,12 @@
 
 FleetDirectory::FleetDirectory(const Clock& clock) : clock_(clock) {}
 
+void FleetDirectory::OnReply(std::chrono::nanoseconds duration) {
+  if (duration >= kMinHiddenOutage || !hidden_outage_end_) {
+    hidden_outage_end_ = clock_.now();
+  }
+}
+
 void FleetDirectory::Apply(const std::vector<StoreChange>& changes) {
   std::vector<TargetId> removed;
   for (const StoreChange& change : changes) {
@@ -35,9 +41,7 @@
       removed.push_back(removal->id);
     }
   }
-  if (IsMassRemoval(removed)) {
-    OnStoreReturned();
-  }
+  CheckForHiddenOutage(removed);
   for (const StoreChange& change : changes) {
     std::visit([this](const auto& kind) { On(kind); }, change);
   }
@@ -56,9 +60,7 @@
       missing.push_back(id);
     }
   }
-  if (IsMassRemoval(missing)) {
-    OnStoreReturned();
-  }
+  CheckForHiddenOutage(missing);
   for (const TargetId& id : missing) {
     Remove(id);
   }
@@ -209,6 +211,15 @@
   return is_repeated || IsOlder(entry, last);
 }
 
+void FleetDirectory::CheckForHiddenOutage(const std::vector<TargetId>& removed) {
+  // A new outage does not prolong a removal that is due.
+  RemoveExpired();
+  if (IsMassRemoval(removed)) {
+    const BootTime end = hidden_outage_end_.value_or(clock_.now()) + kRemovalGrace;
+    grace_end_ = std::max(grace_end_.value_or(end), end);
+  }
+}
+
 bool FleetDirectory::IsMassRemoval(const std::vector<TargetId>& removed) const {
   std::size_t unannounced = 0;
   for (const TargetId& id : removed) {
--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -193,6 +193,7 @@
 
 void StoreFollower::OnAnswered() {
   consecutive_failures_ = 0;
+  directory_.OnReply(clock_.now() - call_start_);
   if (!failing_since_) {
     return;
   }
@@ -237,6 +238,7 @@
     const RankedLock lock(mutex_);
     call_time = clock_.now() - call_start_;
     if (history_gone) {
+      directory_.OnReply(call_time);
       revision_.reset();
     } else if (!failing_since_) {
       failing_since_ = clock_.now();
--- a/test/discovery/fleet_directory_test.cc
+++ b/test/discovery/fleet_directory_test.cc
@@ -126,6 +126,25 @@
   CHECK(directory.targets().empty());
 }
 
+TEST_CASE("targets that are removed while the store answers at once are dropped at once") {
+  ManualClock clock;
+  FleetDirectory directory(clock);
+  std::vector<StoreChange> reports;
+  std::vector<StoreChange> removals;
+  for (int i = 0; i < 10; ++i) {
+    reports.emplace_back(TargetReported{Entry(std::to_string(i), 1, 1)});
+    removals.emplace_back(TargetRemoved{TargetId(std::to_string(i))});
+  }
+  directory.OnReply(milliseconds(4));
+  directory.Apply(reports);
+  for (int i = 0; i < 3; ++i) {
+    clock.Advance(milliseconds(900));
+    directory.OnReply(milliseconds(4));
+  }
+  directory.Apply(removals);
+  CHECK(directory.targets().empty());
+}
+
 TEST_CASE("draining targets that are removed together are dropped at once") {
   const ManualClock clock;
   FleetDirectory directory(clock);
