Don't defer the removal of a target that was draining

Cause: after an outage of the store, removals are deferred since entries may have expired meanwhile. The entry of a target that had reported that it drains was kept as well, though its removal is expected. Change: it is removed at once. Evidence: fleet_directory_test "a draining target that is removed after an outage is dropped at once" failed before (two targets instead of one). Callers saw nothing of it, since a draining target gets no requests.

--- a/include/peridotfork/discovery/fleet_directory.h
+++ b/include/peridotfork/discovery/fleet_directory.h
@@ -44,7 +44,8 @@
   void Replace(const std::vector<StoreChange>& changes);
 
   // Reports that the store answers again after an outage. Removals that it reports during the
-  // following kRemovalGrace are deferred until the end of that time.
+  // following kRemovalGrace are deferred until the end of that time, but for those of targets that
+  // were draining.
   void OnStoreReturned();
 
   // Reports that the store was restored from a copy, before the first listing of its new contents
--- a/src/discovery/fleet_directory.cc
+++ b/src/discovery/fleet_directory.cc
@@ -174,7 +174,8 @@
 
 void FleetDirectory::Remove(const TargetId& id) {
   const bool in_grace = grace_end_ && clock_.now() < *grace_end_;
-  if (in_grace && targets_.contains(id)) {
+  const auto known = targets_.find(id);
+  if (in_grace && known != targets_.end() && !known->second.draining) {
     deferred_removals_.insert(id);
   } else {
     Erase(id);
--- a/test/discovery/fleet_directory_test.cc
+++ b/test/discovery/fleet_directory_test.cc
@@ -145,6 +145,19 @@
   CHECK(directory.targets().empty());
 }
 
+// Guards against an evacuated target that keeps its place in the table because others are lost.
+TEST_CASE("a draining target that is removed after an outage is dropped at once") {
+  const ManualClock clock;
+  FleetDirectory directory(clock);
+  TargetEntry entry = Entry("a", 1, 1);
+  entry.draining = true;
+  directory.Apply({TargetReported{entry}, TargetReported{Entry("b", 1, 1)}});
+  directory.OnStoreReturned();
+  directory.Apply({TargetRemoved{TargetId("a")}, TargetRemoved{TargetId("b")}});
+  REQUIRE(directory.targets().size() == 1);
+  CHECK(directory.targets().front().id == TargetId("b"));
+}
+
 TEST_CASE("draining targets that are removed together are dropped at once") {
   const ManualClock clock;
   FleetDirectory directory(clock);
