Schedule deferred removals again until none is left

Requests are sent to targets that have gone until some other removal is deferred. Cause: the timer of deferred removals runs once. If a further short outage moved their end meanwhile, the timer found nothing due, and was not set again unless the store reported a change. Change: the timer is set whenever removals are deferred and none is set, also after it has run. Evidence: store_follower_test "removals that are deferred further are made when they are due" failed before (the targets stayed).

--- a/include/peridotfork/discovery/store_follower.h
+++ b/include/peridotfork/discovery/store_follower.h
@@ -99,6 +99,8 @@
   void LogFaults(const StoreReply& reply);
   // Calls the listener and schedules the deferred removals. Requires the lock.
   void Publish();
+  // Schedules the deferred removals if there are any. Requires the lock.
+  void ScheduleRemovals();
   void RemoveExpired();
 
   WorkerPool& pool_;
@@ -116,6 +118,7 @@
   // Guards the members below. At most one store call is outstanding.
   RankedMutex mutex_{LockRank::kConfiguration};
   FleetDirectory directory_;
+  bool removal_scheduled_ = false;
   // When the first failure since the last successful reply occurred; none while the store answers.
   std::optional<BootTime> failing_since_;
   std::uint32_t consecutive_failures_ = 0;
--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -285,17 +285,28 @@
 
 void StoreFollower::Publish() {
   listener_(directory_);
-  if (const std::optional<BootTime> due = directory_.next_removal()) {
+  ScheduleRemovals();
+}
+
+void StoreFollower::ScheduleRemovals() {
+  const std::optional<BootTime> due = directory_.next_removal();
+  if (due && !std::exchange(removal_scheduled_, true)) {
     pool_.After(*due - clock_.now(), [this] { RemoveExpired(); });
   }
 }
 
 void StoreFollower::RemoveExpired() {
   const RankedLock lock(mutex_);
-  if (!stopped_ && directory_.RemoveExpired()) {
+  removal_scheduled_ = false;
+  if (stopped_) {
+    return;
+  }
+  if (directory_.RemoveExpired()) {
     log_.Info("Removed targets that did not report again.");
     listener_(directory_);
   }
+  // The removals may have been deferred further since this call was scheduled.
+  ScheduleRemovals();
 }
 
 }  // namespace peridotfork
--- a/test/discovery/store_follower_test.cc
+++ b/test/discovery/store_follower_test.cc
@@ -5,6 +5,7 @@
 #include <condition_variable>
 #include <deque>
 #include <mutex>
+#include <thread>
 
 namespace peridotfork {
 namespace {
@@ -243,6 +244,32 @@
                                           "watch 11", "watch 12", "list ", "watch 23"});
 }
 
+// Guards against targets that stay in use because the timer of their removal runs once, and the
+// store was away for a short time before it.
+TEST_CASE("removals that are deferred further are made when they are due") {
+  Fixture fixture({.batch_share = 0,
+                   .initial_retry_delay = milliseconds(600),
+                   .max_first_retry_delay = milliseconds(600)});
+  std::vector<StoreChange> reports;
+  std::vector<StoreChange> removals;
+  for (int i = 0; i < 10; ++i) {
+    reports.push_back(Target(std::to_string(i)));
+    removals.emplace_back(TargetRemoved{TargetId(std::to_string(i))});
+  }
+  fixture.store.Add(Reply(10, reports));
+  fixture.store.Add(Reply(11, removals));
+  fixture.store.Add(MakeError(ErrorKind::kUnavailable));
+  StoreReply nothing = Reply(11);
+  nothing.empty = true;
+  fixture.store.Add(nothing);
+  fixture.follower.Start();
+  fixture.store.WaitForCalls(5);
+  std::this_thread::sleep_for(FleetDirectory::kRemovalGrace + milliseconds(500));
+  fixture.follower.Stop();
+  fixture.pool.Stop();
+  CHECK(fixture.sizes == std::vector<std::size_t>{10, 10, 0});
+}
+
 // Guards against API keys that are taken for current although the store has left out a newer
 // configuration.
 TEST_CASE("a reply that may be incomplete does not make what is known current") {
