Tell a host that joins or was cut off which requests crash targets

Cause: the loss of a target was told once, to the gateways known at that time. Nothing told one that joins later, was cut off or missed the datagram. Swim counts how often it got in touch, and probes each second while nobody answers.

--- a/include/peridotfork/gateway/crash_guard.h
+++ b/include/peridotfork/gateway/crash_guard.h
@@ -7,8 +7,10 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <set>
 #include <tuple>
+#include <vector>
 
 #include "peridotfork/core/clock.h"
 #include "peridotfork/core/ids.h"
@@ -31,6 +33,8 @@
   std::uint32_t checks_per_second = 10;
   // Number of most recent notices remembered, so that none is forwarded twice.
   std::size_t max_notices = 4096;
+  // Number of suspects named to another host at once.
+  std::size_t max_reported = 16;
 };
 
 // Detects requests that crash the targets that run them, from the target losses seen on this
@@ -70,13 +74,26 @@
   // Handles a notice from another host; forwards it to the peers if it is new.
   void OnNotice(const protocol::TargetLossNotice& notice);
 
+  // Digest of the losses of all suspects; zero without any. Hosts that have heard of the same
+  // losses have the same digest.
+  std::uint64_t Digest();
+
+  // What this host knows of suspects, in messages that fit into a datagram each; at least one.
+  // Quarantined requests go first, and no more than max_reported are named.
+  std::vector<protocol::SuspectReport> Report();
+
+  // Takes over what another host knows of suspects.
+  void OnReport(const HostId& from, const protocol::SuspectReport& report);
+
  private:
   using NoticeKey = std::tuple<HostId, Incarnation, std::uint64_t>;
 
   // Returns whether this loss puts the request into quarantine. Requires the lock.
   bool AddLoss(std::uint64_t fingerprint, const TargetLoss& loss);
-  // Remembers the notice; returns false if it was already known. Requires the lock.
-  bool RememberNotice(const protocol::TargetLossNotice& notice);
+  // Remembers the loss; returns false if it was already known. Requires the lock.
+  bool Remember(std::uint64_t fingerprint, const protocol::LossRecord& loss);
+  // Drops the losses of requests that are no longer suspects. Requires the lock.
+  void ForgetExpired();
   void LogLoss(const protocol::TargetLossNotice& notice, bool quarantined);
 
   const Clock& clock_;
@@ -94,6 +111,9 @@
   // Known notices, and the order in which they arrived, to drop the oldest first.
   std::set<NoticeKey> known_notices_;
   std::deque<NoticeKey> notice_order_;
+  // The losses of each suspect, for reports: those that are least in order, so that all hosts keep
+  // the same ones.
+  std::map<std::uint64_t, std::set<protocol::LossRecord>> losses_;
 };
 
 }  // namespace peridotfork
--- a/include/peridotfork/gateway/gateway.h
+++ b/include/peridotfork/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "peridotfork/gateway/message_codec.h"
 #include "peridotfork/gateway/request_log.h"
 #include "peridotfork/gateway/request_runner.h"
+#include "peridotfork/gateway/suspect_exchange.h"
 #include "peridotfork/http/router.h"
 #include "peridotfork/http/server.h"
 #include "peridotfork/membership/fleet_link.h"
@@ -53,6 +54,8 @@
   Address ingress_address() const;
   Address status_address() const { return status_server_.address(); }
   Address metrics_address() const { return metrics_server_.address(); }
+  // Address on which the other gateways are heard; empty without seeds.
+  Address peers_address() const { return fleet_.self().address; }
 
  private:
   using Tcp = boost::asio::ip::tcp;
@@ -103,11 +106,12 @@
   CataloguePtr catalogue() const;
   void OnPeerMessage(const protocol::Envelope& envelope);
   void OnTargetLoss(const protocol::Envelope& envelope, const protocol::TargetLossNotice& notice);
+  void OnSuspectQuery(const protocol::Envelope& envelope, const protocol::SuspectQuery& query);
+  void OnSuspectReport(const protocol::Envelope& envelope, const protocol::SuspectReport& report);
   void OnQuotaUsage(const protocol::Envelope& envelope, const protocol::QuotaUsage& usage);
   void OnQuotaBalance(const protocol::Envelope& envelope, const protocol::QuotaBalance& balance);
   // Reports admitted requests to the owners of their quotas a short time from now.
   void ScheduleQuotaFlush();
-  void Publish(const protocol::TargetLossNotice& notice);
   // False if a graceful shutdown may end the process before the request: at its deadline, or, for
   // an idempotent request, at the objective of its route.
   bool CanFinishBeforeStop(const RoutedRequest& request) const;
@@ -129,11 +133,12 @@
   ConnectionPool connections_;
   FleetLink fleet_;
   FleetQuotas quotas_;
-  boost::intrusive_ptr<PeriodicTask> quota_task_;
+  boost::intrusive_ptr<PeriodicTask> peer_task_;
   std::atomic<bool> quota_flush_pending_ = false;
   // Some target names a limit.
   std::atomic<bool> divides_limits_ = false;
   CrashGuard guard_;
+  SuspectExchange suspects_;
   GatewayContext runner_context_;
   StoreFollower follower_;
   http::Server status_server_;
--- a/include/peridotfork/limits/quarantine.h
+++ b/include/peridotfork/limits/quarantine.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string_view>
+#include <vector>
 
 #include "peridotfork/core/clock.h"
 #include "peridotfork/core/ids.h"
@@ -91,12 +92,25 @@
                 std::uint64_t fingerprint,
                 std::chrono::nanoseconds remaining);
 
+  // Records losses that another entry has counted for longer, each as a round of its own. That
+  // entry quarantines the request for `quarantined_for` more and forgets it after `kept_for`.
+  // Returns true if the request is newly in quarantine. A quarantine is taken over only if there
+  // are losses enough for it.
+  bool Adopt(const CallerId& caller,
+             std::uint64_t fingerprint,
+             const std::vector<GroupIndex>& losses,
+             std::chrono::nanoseconds quarantined_for,
+             std::chrono::nanoseconds kept_for);
+
   Suspicion Classify(const CallerId& caller, std::uint64_t fingerprint) const;
   bool IsQuarantined(const CallerId& caller, std::uint64_t fingerprint) const;
 
   // Time until the quarantine ends, or zero if the request is not quarantined.
   std::chrono::nanoseconds Remaining(const CallerId& caller, std::uint64_t fingerprint) const;
 
+  // Time until the request is forgotten, or zero if it is not known.
+  std::chrono::nanoseconds KeptFor(const CallerId& caller, std::uint64_t fingerprint) const;
+
   std::size_t size() const { return suspects_.size(); }
 
  private:
--- a/include/peridotfork/membership/fleet.h
+++ b/include/peridotfork/membership/fleet.h
@@ -46,6 +46,10 @@
   // Changes whenever Members() does.
   virtual std::uint64_t version() const = 0;
 
+  // How often this process has got in touch with the others: when it first heard of them, and each
+  // time that one answered after another had not. In between, it may have missed messages.
+  virtual std::uint64_t contacts() const = 0;
+
   // Whether other members have been found, so that the size of the fleet means something.
   virtual bool joined() const = 0;
 };
--- a/include/peridotfork/membership/fleet_link.h
+++ b/include/peridotfork/membership/fleet_link.h
@@ -46,6 +46,7 @@
   std::vector<FleetMember> Members() const override;
   std::size_t unaccounted() const override;
   std::uint64_t version() const override;
+  std::uint64_t contacts() const override;
   bool joined() const override;
   void Send(const Address& to, protocol::Message message) override;
 
--- a/include/peridotfork/membership/swim.h
+++ b/include/peridotfork/membership/swim.h
@@ -17,8 +17,9 @@
 
 struct SwimOptions {
   std::chrono::milliseconds period{1000};
-  // Period for a short time after the start, in which a host gets to know the others. After 5 s of
-  // it, some of 118 hosts that started together lacked one member for 45 s.
+  // Period for a short time after the start, in which a host gets to know the others, and while no
+  // member answers. After 5 s of it, some of 118 hosts that started together lacked one member for
+  // 45 s.
   std::chrono::milliseconds first_period{200};
   std::chrono::seconds first_periods_for{10};
   // Longest time for which a host that has found others waits until it has discovered all.
@@ -81,6 +82,8 @@
   // takes long.
   std::size_t size_bound() const;
   std::uint64_t version() const { return version_; }
+  // See FleetView::contacts().
+  std::uint64_t contacts() const { return contacts_; }
   bool joined() const { return joined_; }
   const FleetMember& self() const { return self_; }
 
@@ -139,6 +142,9 @@
   std::uint32_t self_refutations_ = 0;
   bool leaving_ = false;
   bool joined_ = false;
+  // No member has answered since the start, or since another one did not.
+  bool out_of_touch_ = true;
+  std::uint64_t contacts_ = 0;
   // Updates of known members in succession, since the first periods; see size_bound().
   std::size_t repeated_updates_ = 0;
   bool discovered_ = false;
--- a/include/peridotfork/protocol/message.h
+++ b/include/peridotfork/protocol/message.h
@@ -411,6 +411,55 @@
                       MakeField("group", &TargetLossNotice::group));
 };
 
+// A target loss as other gateways are told of it later. Names on the wire are short, since a
+// datagram holds several of these.
+struct LossRecord {
+  // Identify the TargetLossNotice of the loss.
+  ProcessId origin;
+  std::uint64_t number = 0;
+  GroupIndex group;
+
+  // NOLINTNEXTLINE(modernize-use-nullptr): see StrongValue.
+  friend auto operator<=>(const LossRecord&, const LossRecord&) = default;
+  static constexpr auto kFields = std::make_tuple(MakeField("o", &LossRecord::origin),
+                                                  MakeField("n", &LossRecord::number),
+                                                  MakeField("g", &LossRecord::group));
+};
+
+// A request that a gateway suspects of crashing targets.
+struct SuspectRecord {
+  std::uint64_t fingerprint = 0;
+  // Time until its quarantine ends; zero if there is none.
+  std::chrono::milliseconds quarantined_for{0};
+  // Time until the gateway forgets the request.
+  std::chrono::milliseconds kept_for{0};
+  std::vector<LossRecord> losses;
+
+  static constexpr auto kFields = std::make_tuple(MakeField("f", &SuspectRecord::fingerprint),
+                                                  MakeField("q", &SuspectRecord::quarantined_for),
+                                                  MakeField("k", &SuspectRecord::kept_for),
+                                                  MakeField("l", &SuspectRecord::losses));
+};
+
+// Asks a gateway for the requests that it suspects, unless its digest of them is the same.
+struct SuspectQuery {
+  std::uint64_t digest = 0;
+  // The sender was asked itself. Such a query is not answered with another one.
+  bool in_return = false;
+
+  static constexpr const char* kName = "suspect_query";
+  static constexpr auto kFields = std::make_tuple(MakeField("d", &SuspectQuery::digest),
+                                                  MakeField("r", &SuspectQuery::in_return));
+};
+
+// Answers a SuspectQuery, in several messages if need be.
+struct SuspectReport {
+  std::vector<SuspectRecord> suspects;
+
+  static constexpr const char* kName = "suspect_report";
+  static constexpr auto kFields = std::make_tuple(MakeField("s", &SuspectReport::suspects));
+};
+
 // What one gateway says of a member of the fleet. Names on the wire are short, since a datagram
 // holds several of these.
 enum class MemberState { kAlive, kSuspect, kDead, kLeft };
@@ -520,7 +569,9 @@
                              MemberProbe,
                              MemberAck,
                              QuotaUsage,
-                             QuotaBalance>;
+                             QuotaBalance,
+                             SuspectQuery,
+                             SuspectReport>;
 
 // A message with its sender. `to_incarnation` is the only incarnation of the
 // receiver that may handle the message, or zero for any.
--- a/src/gateway/crash_guard.cc
+++ b/src/gateway/crash_guard.cc
@@ -1,5 +1,7 @@
 #include "peridotfork/gateway/crash_guard.h"
 
+#include <algorithm>
+#include <boost/container_hash/hash.hpp>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -8,6 +10,8 @@
 namespace {
 
 constexpr std::chrono::seconds kCheckWindow{1};
+// Losses in one report, so that it fits into a datagram.
+constexpr std::size_t kMaxReportedLosses = 8;
 
 std::string_view View(boost::beast::string_view text) {
   return {text.data(), text.size()};
@@ -61,7 +65,7 @@
   {
     const RankedLock lock(mutex_);
     notice.number = ++last_number_;
-    RememberNotice(notice);
+    Remember(fingerprint, {notice.origin, notice.number, notice.group});
     quarantined = AddLoss(fingerprint, loss);
     if (!repeatable) {
       quarantine_.OnNotice(CallerId(), fingerprint, options_.quarantine.duration);
@@ -75,6 +79,11 @@
 void CrashGuard::OnAnswered(std::uint64_t fingerprint, GroupIndex group) {
   const RankedLock lock(mutex_);
   quarantine_.OnAnswered(CallerId(), fingerprint, group);
+  const auto known = losses_.find(fingerprint);
+  if (known != losses_.end()) {
+    std::erase_if(known->second,
+                  [group](const protocol::LossRecord& loss) { return loss.group == group; });
+  }
   has_suspects_ = quarantine_.size() > 0;
 }
 
@@ -82,7 +91,7 @@
   bool quarantined = false;
   {
     const RankedLock lock(mutex_);
-    if (!RememberNotice(notice)) {
+    if (!Remember(notice.fingerprint, {notice.origin, notice.number, notice.group})) {
       return;
     }
     quarantined = AddLoss(notice.fingerprint, {notice.group, clock_.now()});
@@ -96,8 +105,8 @@
   return quarantine_.OnTargetLost(CallerId(), fingerprint, loss);
 }
 
-bool CrashGuard::RememberNotice(const protocol::TargetLossNotice& notice) {
-  const NoticeKey key(notice.origin.host, notice.origin.incarnation, notice.number);
+bool CrashGuard::Remember(std::uint64_t fingerprint, const protocol::LossRecord& loss) {
+  const NoticeKey key(loss.origin.host, loss.origin.incarnation, loss.number);
   if (!known_notices_.insert(key).second) {
     return false;
   }
@@ -106,9 +115,96 @@
     known_notices_.erase(notice_order_.front());
     notice_order_.pop_front();
   }
+  std::set<protocol::LossRecord>& losses = losses_[fingerprint];
+  losses.insert(loss);
+  if (losses.size() > kMaxReportedLosses) {
+    losses.erase(std::prev(losses.end()));
+  }
   return true;
 }
 
+void CrashGuard::ForgetExpired() {
+  std::erase_if(losses_, [this](const auto& suspect) {
+    return quarantine_.Classify(CallerId(), suspect.first) == Suspicion::kNone;
+  });
+}
+
+std::uint64_t CrashGuard::Digest() {
+  const RankedLock lock(mutex_);
+  ForgetExpired();
+  std::size_t digest = 0;
+  for (const auto& [fingerprint, losses] : losses_) {
+    boost::hash_combine(digest, fingerprint);
+    for (const protocol::LossRecord& loss : losses) {
+      boost::hash_combine(digest, loss.origin.host.value());
+      boost::hash_combine(digest, loss.origin.incarnation.value());
+      boost::hash_combine(digest, loss.number);
+    }
+  }
+  return digest;
+}
+
+std::vector<protocol::SuspectReport> CrashGuard::Report() {
+  using std::chrono::duration_cast;
+  using std::chrono::milliseconds;
+  const RankedLock lock(mutex_);
+  ForgetExpired();
+  std::vector<protocol::SuspectRecord> records;
+  records.reserve(losses_.size());
+  for (const auto& [fingerprint, losses] : losses_) {
+    records.push_back({fingerprint,
+                       duration_cast<milliseconds>(quarantine_.Remaining(CallerId(), fingerprint)),
+                       duration_cast<milliseconds>(quarantine_.KeptFor(CallerId(), fingerprint)),
+                       {losses.begin(), losses.end()}});
+  }
+  std::ranges::sort(records, std::greater{}, [](const protocol::SuspectRecord& record) {
+    return std::pair(record.quarantined_for, record.kept_for);
+  });
+  records.resize(std::min(records.size(), options_.max_reported));
+  std::vector<protocol::SuspectReport> reports(1);
+  std::size_t losses = 0;
+  for (protocol::SuspectRecord& record : records) {
+    losses += record.losses.size();
+    if (losses > kMaxReportedLosses) {
+      losses = record.losses.size();
+      reports.emplace_back();
+    }
+    reports.back().suspects.push_back(std::move(record));
+  }
+  return reports;
+}
+
+void CrashGuard::OnReport(const HostId& from, const protocol::SuspectReport& report) {
+  for (const protocol::SuspectRecord& record : report.suspects) {
+    bool quarantined = false;
+    {
+      const RankedLock lock(mutex_);
+      std::vector<GroupIndex> groups;
+      for (const protocol::LossRecord& loss : record.losses) {
+        if (Remember(record.fingerprint, loss)) {
+          groups.push_back(loss.group);
+        }
+      }
+      const bool is_known =
+          quarantine_.Classify(CallerId(), record.fingerprint) != Suspicion::kNone;
+      if (groups.empty() && !is_known) {
+        // An answer has cleared these losses here.
+        continue;
+      }
+      quarantined = quarantine_.Adopt(CallerId(), record.fingerprint, groups,
+                                      record.quarantined_for, record.kept_for);
+      has_suspects_ = quarantine_.size() > 0;
+    }
+    if (quarantined) {
+      log_.Request("A request that crashes targets is refused, as another host does.",
+                   {{"fingerprint", std::to_string(record.fingerprint)},
+                    {"from", from.value()},
+                    {"losses", std::to_string(record.losses.size())},
+                    {"quarantined_ms", std::to_string(record.quarantined_for.count())}});
+    }
+  }
+}
+
 void CrashGuard::LogLoss(const protocol::TargetLossNotice& notice, bool quarantined) {
   log_.Request(quarantined ? "A request that crashes targets is refused from now on."
                            : "A target went down while running a request.",
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -6,7 +6,6 @@
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/strand.hpp>
 #include <limits>
-#include <random>
 #include <string_view>
 #include <utility>
 
@@ -61,17 +60,14 @@
 // Admitted requests are reported to the owners of their quotas after this time, so that several
 // share a message.
 constexpr std::chrono::milliseconds kQuotaFlushDelay{5};
-// Interval at which reports that were lost are sent again.
-constexpr std::chrono::milliseconds kQuotaInterval{100};
+// Interval at which reports that were lost are sent again, and other hosts are asked what is due.
+constexpr std::chrono::milliseconds kPeerInterval{100};
 
 // Interval at which slow callers are looked for while memory is short.
 constexpr std::chrono::milliseconds kMemoryInterval{500};
 // Delay after a failed accept, so that a lack of descriptors takes no processor time.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
 
-// Number of hosts to which a notice of another host is passed on.
-constexpr std::size_t kForwardedNotices = 3;
-
 // Without quotas and limits, the gateways tell each other of crashing requests only. Probes each
 // second cost 0.04 of the worth of a quiet day of 118 hosts, for bytes between data centres.
 constexpr std::chrono::seconds kSparsePeriod{5};
@@ -112,6 +108,8 @@
 
 const MessageTable<Gateway> Gateway::kMessages = MessageTable<Gateway>()
                                                      .On<&Gateway::OnTargetLoss>()
+                                                     .On<&Gateway::OnSuspectQuery>()
+                                                     .On<&Gateway::OnSuspectReport>()
                                                      .On<&Gateway::OnQuotaUsage>()
                                                      .On<&Gateway::OnQuotaBalance>();
 
@@ -140,7 +138,13 @@
       guard_(context.clock,
              context.log,
              {settings.id, Role::kGateway, context.incarnation},
-             [this](const protocol::TargetLossNotice& notice) { Publish(notice); }),
+             [this](const protocol::TargetLossNotice& notice) { suspects_.Publish(notice); }),
+      suspects_(context.clock,
+                guard_,
+                fleet_,
+                fleet_,
+                settings.seeds,
+                std::hash<std::string>{}(settings.id.value()) ^ context.incarnation.value()),
       runner_context_{context.pool.context(), context.clock, *adapters_.codec, targets_,
                       connections_,           guard_,        request_log_},
       follower_(
@@ -201,13 +205,17 @@
       context_.log.Error("Listening to the other gateways failed.",
                          {{"error", ToString(opened.error())}});
     }
+    suspects_.Tick();
     context_.pool.After(kPeerConnectDelay, [this] { JoinFleet(); });
   }
-  quota_task_ = PeriodicTask::Start(context_.pool, kQuotaInterval, [this] {
+  peer_task_ = PeriodicTask::Start(context_.pool, kPeerInterval, [this] {
     if (quotas_.enabled()) {
       quotas_.Flush();
     }
     DivideLimits();
+    if (!settings_.seeds.empty()) {
+      suspects_.Tick();
+    }
   });
   memory_task_ =
       PeriodicTask::Start(context_.pool, kMemoryInterval, [this] { CloseSlowSessions(); });
@@ -408,7 +416,7 @@
 }
 
 void Gateway::Close() {
-  quota_task_->Cancel();
+  peer_task_->Cancel();
   memory_task_->Cancel();
   fleet_.Close();
   follower_.Stop();
@@ -569,6 +577,16 @@
   guard_.OnNotice(notice);
 }
 
+void Gateway::OnSuspectQuery(const protocol::Envelope& envelope,
+                             const protocol::SuspectQuery& query) {
+  suspects_.OnQuery(envelope.reply_to, query);
+}
+
+void Gateway::OnSuspectReport(const protocol::Envelope& envelope,
+                              const protocol::SuspectReport& report) {
+  suspects_.OnReport(envelope.from.host, report);
+}
+
 void Gateway::OnQuotaUsage(const protocol::Envelope& envelope, const protocol::QuotaUsage& usage) {
   quotas_.OnUsage(envelope.from, envelope.reply_to, usage);
 }
@@ -588,19 +606,6 @@
   });
 }
 
-void Gateway::Publish(const protocol::TargetLossNotice& notice) {
-  std::vector<FleetMember> receivers = fleet_.Members();
-  std::erase(receivers, fleet_.self());
-  if (notice.origin.host != settings_.id && receivers.size() > kForwardedNotices) {
-    // The origin has told all hosts that it knows; a few more reach those that it does not know.
-    std::ranges::shuffle(receivers, std::minstd_rand(static_cast<unsigned>(notice.number)));
-    receivers.resize(kForwardedNotices);
-  }
-  for (const FleetMember& member : receivers) {
-    fleet_.Send(member.address, notice);
-  }
-}
-
 std::chrono::milliseconds Gateway::TimeToEnoughTargets(const RoutedRequest& request) const {
   std::vector<BootTime> opening;
   opening.reserve(request.services.size());
--- a/src/limits/quarantine.cc
+++ b/src/limits/quarantine.cc
@@ -18,6 +18,9 @@
 }
 
 constexpr std::uint32_t kRoundsWithIsolatedLoss = 2;
+// Entries that tell each other the same end of a quarantine would otherwise put it off each time by
+// the delay of the message.
+constexpr std::chrono::seconds kMinGain{1};
 // Bounds the memory per suspect, since a query can lose one attempt in every group.
 constexpr std::size_t kMaxLosses = 16;
 
@@ -120,6 +123,43 @@
   EvictOldest();
 }
 
+bool Quarantine::Adopt(const CallerId& caller,
+                       std::uint64_t fingerprint,
+                       const std::vector<GroupIndex>& losses,
+                       std::chrono::nanoseconds quarantined_for,
+                       std::chrono::nanoseconds kept_for) {
+  const BootTime now = clock_.now();
+  bool newly_quarantined = false;
+  suspects_.modify(FindOrAdd(caller, fingerprint), [&](Suspect& suspect) {
+    const bool was_quarantined = suspect.quarantined_until > now;
+    const bool had_enough = ShouldQuarantine(suspect, options_.rounds_without_isolation);
+    for (const GroupIndex group : losses) {
+      if (suspect.losses.size() < kMaxLosses) {
+        suspect.losses.push_back({group, ++suspect.round, /*alone=*/false});
+        suspect.round_start = now;
+      }
+    }
+    const BootTime expires = now + std::min(kept_for, options_.duration + options_.memory);
+    if (expires > suspect.expires + kMinGain) {
+      suspect.expires = expires;
+    }
+    if (!ShouldQuarantine(suspect, options_.rounds_without_isolation)) {
+      return;
+    }
+    const bool is_longer = now + quarantined_for > suspect.quarantined_until + kMinGain;
+    if (is_longer && quarantined_for > std::chrono::nanoseconds(0)) {
+      ExtendQuarantine(suspect, quarantined_for);
+    } else if (!had_enough && losses.size() < options_.rounds_without_isolation) {
+      // Neither entry alone had losses enough.
+      ExtendQuarantine(suspect, options_.duration);
+    }
+    suspect.was_quarantined = true;
+    newly_quarantined = !was_quarantined && suspect.quarantined_until > now;
+  });
+  EvictOldest();
+  return newly_quarantined;
+}
+
 SuspectTable::iterator Quarantine::FindOrAdd(const CallerId& caller, std::uint64_t fingerprint) {
   EraseExpired();
   Suspect suspect;
@@ -162,4 +202,13 @@
   return std::max(found->quarantined_until - clock_.now(), std::chrono::nanoseconds(0));
 }
 
+std::chrono::nanoseconds Quarantine::KeptFor(const CallerId& caller,
+                                             std::uint64_t fingerprint) const {
+  const auto found = suspects_.find(std::make_tuple(caller, fingerprint));
+  if (found == suspects_.end()) {
+    return std::chrono::nanoseconds(0);
+  }
+  return std::max(found->expires - clock_.now(), std::chrono::nanoseconds(0));
+}
+
 }  // namespace peridotfork
--- a/src/membership/fleet_link.cc
+++ b/src/membership/fleet_link.cc
@@ -153,6 +153,11 @@
   return swim_ ? swim_->version() : 0;
 }
 
+std::uint64_t FleetLink::contacts() const {
+  const RankedLock lock(mutex_);
+  return swim_ ? swim_->contacts() : 0;
+}
+
 bool FleetLink::joined() const {
   const RankedLock lock(mutex_);
   return swim_ && swim_->joined();
--- a/src/membership/swim.cc
+++ b/src/membership/swim.cc
@@ -57,12 +57,13 @@
     ProbeIndirectly(out);
   }
   if (now >= next_period_) {
-    const bool is_first = now - started_ < options_.first_periods_for;
-    next_period_ = now + (is_first ? options_.first_period : options_.period);
     // Short periods leave a probe the time of a long one.
     if (!probe_ || now - probe_->sent >= options_.period) {
       EndProbe(now);
     }
+    const bool is_urgent =
+        now - started_ < options_.first_periods_for || (out_of_touch_ && !entries_.empty());
+    next_period_ = now + (is_urgent ? options_.first_period : options_.period);
     StartProbe(now, out);
   }
   return out;
@@ -107,6 +108,7 @@
   if (!probe_) {
     return;
   }
+  out_of_touch_ = true;
   const auto found = entries_.find(probe_->host);
   // A process that was suspended between two ticks gives the member another period.
   const bool waited_regularly = now - probe_->sent < 2 * options_.period;
@@ -149,6 +151,8 @@
 
 Swim::Messages Swim::OnAck(const MemberAck& ack) {
   Apply(ack.updates);
+  contacts_ += out_of_touch_ ? 1 : 0;
+  out_of_touch_ = false;
   if (probe_ && probe_->number == ack.number) {
     probe_.reset();
   }
--- a/test/gateway/crash_guard_test.cc
+++ b/test/gateway/crash_guard_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <deque>
 #include <memory>
@@ -9,6 +10,9 @@
 #include <string>
 #include <vector>
 
+#include "peridotfork/protocol/codec.h"
+#include "peridotfork/transport/datagram_endpoint.h"
+
 namespace peridotfork {
 namespace {
 
@@ -20,17 +24,33 @@
 // Hosts that forward notices to each other. The first `seeds` hosts are connected to all hosts,
 // the others only to the seeds.
 struct Fleet {
-  explicit Fleet(std::size_t count, std::size_t seeds = 3) : log("test", clock) {
+  explicit Fleet(std::size_t count, std::size_t seeds = 3) : seeds(seeds), log("test", clock) {
+    guards.resize(count);
     for (std::size_t i = 0; i < count; ++i) {
-      guards.push_back(std::make_unique<CrashGuard>(
-          clock, log, ProcessId{HostId("h" + std::to_string(i)), Role::kGateway, Incarnation(1)},
-          [this, i, count, seeds](const protocol::TargetLossNotice& notice) {
-            for (std::size_t to = 0; to < count; ++to) {
-              if (to != i && (to < seeds || i < seeds)) {
-                queue.emplace_back(to, notice);
-              }
+      Restart(i);
+    }
+  }
+
+  // Starts a host anew, which then knows nothing.
+  void Restart(std::size_t host) {
+    const ProcessId self{HostId("h" + std::to_string(host)), Role::kGateway,
+                         Incarnation(++last_incarnation)};
+    guards[host] = std::make_unique<CrashGuard>(
+        clock, log, self, [this, host](const protocol::TargetLossNotice& notice) {
+          for (std::size_t to = 0; to < guards.size(); ++to) {
+            if (to != host && (to < seeds || host < seeds)) {
+              queue.emplace_back(to, notice);
             }
-          }));
+          }
+        });
+  }
+
+  // Tells host `to` what host `from` knows.
+  void Tell(std::size_t from, std::size_t to, milliseconds delay = milliseconds(0)) {
+    const auto reports = guards[from]->Report();
+    clock.Advance(delay);
+    for (const protocol::SuspectReport& report : reports) {
+      guards[to]->OnReport(HostId("h" + std::to_string(from)), report);
     }
   }
 
@@ -56,8 +76,10 @@
     DeliverAll();
   }
 
+  const std::size_t seeds;
   ManualClock clock;
   Logger log;
+  std::uint64_t last_incarnation = 0;
   std::vector<std::unique_ptr<CrashGuard>> guards;
   std::deque<std::pair<std::size_t, protocol::TargetLossNotice>> queue;
   std::size_t delivered = 0;
@@ -191,6 +213,119 @@
   }
 }
 
+// Guards against a host that has just started and sends a quarantined request to targets again
+// (review/8).
+TEST_CASE("a host that restarts refuses what another one has in quarantine") {
+  Fleet fleet(5);
+  fleet.LoseTarget(0, 1);
+  fleet.LoseTarget(0, 1);
+  fleet.clock.Advance(std::chrono::seconds(20));
+  fleet.Restart(2);
+  CHECK(fleet.guards[2]->Remaining(1) == kNotQuarantined);
+  fleet.Tell(4, 2);
+  CHECK(fleet.guards[2]->Remaining(1) > std::chrono::seconds(39));
+  CHECK(fleet.guards[2]->Remaining(1) <= std::chrono::seconds(40));
+  CHECK(fleet.guards[2]->Digest() == fleet.guards[4]->Digest());
+}
+
+TEST_CASE(
+    "while all hosts restart in turn, a request that crashes targets reaches no more of them") {
+  Fleet fleet(5);
+  fleet.LoseTarget(0, 1);
+  fleet.LoseTarget(0, 1);
+  int attempts = 0;
+  for (std::size_t host = 0; host < 5; ++host) {
+    fleet.clock.Advance(std::chrono::seconds(5));
+    fleet.Restart(host);
+    fleet.Tell((host + 1) % 5, host);
+    attempts += fleet.guards[host]->Remaining(1) == kNotQuarantined ? 1 : 0;
+  }
+  CHECK(attempts == 0);
+}
+
+// Guards against a loss that counts twice, as the notice of it and as part of a report.
+TEST_CASE("a loss that a host hears of again is counted once") {
+  Fleet fleet(3);
+  fleet.LoseTarget(0, 1);
+  fleet.Restart(2);
+  for (int i = 0; i < 5; ++i) {
+    fleet.Tell(0, 2);
+    fleet.Tell(1, 2);
+  }
+  for (const auto& guard : fleet.guards) {
+    CHECK(guard->Remaining(1) == kNotQuarantined);
+  }
+  fleet.LoseTarget(2, 1);
+  CHECK(fleet.guards[2]->Remaining(1) > kNotQuarantined);
+}
+
+// Guards against a sound request that one host's crash shuts out everywhere.
+TEST_CASE("a quarantine after one loss is not taken over, but its loss is") {
+  Fleet fleet(2);
+  TargetLoss loss;
+  loss.sent = loss.noticed = fleet.clock.now();
+  fleet.guards[0]->OnTargetDown(1, loss, /*repeatable=*/false);
+  fleet.queue.clear();
+  fleet.Tell(0, 1);
+  CHECK(fleet.guards[1]->Remaining(1) == kNotQuarantined);
+  CHECK(fleet.guards[1]->has_suspects());
+  fleet.clock.Advance(milliseconds(1));
+  fleet.LoseTarget(1, 1);
+  CHECK(fleet.guards[1]->Remaining(1) > kNotQuarantined);
+}
+
+// Guards against hosts that keep a quarantine alive by telling each other of it.
+TEST_CASE("a quarantine ends on all hosts though they tell each other of it") {
+  Fleet fleet(4);
+  fleet.LoseTarget(0, 1);
+  fleet.LoseTarget(0, 1);
+  const BootTime end = fleet.clock.now() + fleet.guards[0]->Remaining(1);
+  std::mt19937 random(3);
+  while (fleet.clock.now() < end + std::chrono::minutes(3)) {
+    fleet.clock.Advance(milliseconds(250));
+    fleet.Tell(random() % 4, random() % 4, /*delay=*/milliseconds(random() % 50));
+    if (random() % 40 == 0) {
+      fleet.Restart(random() % 4);
+    }
+    for (const auto& guard : fleet.guards) {
+      const nanoseconds left = std::max(end - fleet.clock.now(), nanoseconds(0));
+      CHECK(guard->Remaining(1) <= left + std::chrono::seconds(2));
+    }
+  }
+  for (const auto& guard : fleet.guards) {
+    CHECK(guard->Digest() == 0);
+  }
+}
+
+TEST_CASE("what an answer has cleared is not learned again from another host") {
+  Fleet fleet(2);
+  fleet.LoseTarget(0, 1);
+  fleet.guards[1]->OnAnswered(1, GroupIndex(0));
+  fleet.Tell(0, 1);
+  CHECK(fleet.guards[1]->Digest() == 0);
+  CHECK_FALSE(fleet.guards[1]->has_suspects());
+}
+
+TEST_CASE("a report fits into datagrams and names quarantined requests first") {
+  Fleet fleet(2);
+  for (std::uint64_t fingerprint = 1; fingerprint <= 100; ++fingerprint) {
+    fleet.LoseTarget(0, fingerprint);
+  }
+  for (int i = 0; i < 12; ++i) {
+    fleet.LoseTarget(0, 50);
+  }
+  const auto reports = fleet.guards[0]->Report();
+  std::size_t suspects = 0;
+  for (const protocol::SuspectReport& report : reports) {
+    suspects += report.suspects.size();
+    const ProcessId self{HostId(std::string(40, 'h')), Role::kGateway, Incarnation(1)};
+    CHECK(protocol::Encode({self, Address("127.0.0.1:65535"), Incarnation(0), report}).size() <=
+          DatagramEndpoint::kMaxDatagram);
+  }
+  CHECK(suspects == CrashGuardOptions().max_reported);
+  CHECK(reports.front().suspects.front().fingerprint == 50);
+}
+
 // Guards against a request that may not be repeated passing each host twice (review/4): it is lost
 // once in each attempt.
 TEST_CASE("a request that is not repeatable is quarantined by its first crash") {
--- a/test/gateway/gateway_test.cc
+++ b/test/gateway/gateway_test.cc
@@ -446,6 +446,33 @@
   CHECK(fixture.MakeCaller().Get("single.example", "/one/1", "c").result_int() == 200);
 }
 
+// Guards against a gateway that has just started and sends a request to targets that another one
+// keeps from them.
+TEST_CASE("a gateway that starts refuses a request that another one has in quarantine") {
+  GatewaySettings settings = Settings();
+  settings.seeds = {Address("127.0.0.1:1")};
+  Fixture first(settings);
+  std::vector<ScriptedTarget*> targets(2);
+  for (std::size_t i = 0; i < targets.size(); ++i) {
+    targets[i] = &first.AddTarget("one", [&targets, i](const std::string&) {
+      targets[i]->StopListening();
+      return TargetAction{"", milliseconds(0), After::kReset};
+    });
+  }
+  first.Publish({SingleRoute(Repeatability::kIdempotent)});
+  CHECK(first.MakeCaller().Get("single.example", "/one/deadly", "a").result_int() == 502);
+
+  settings.id = HostId("h2");
+  settings.seeds = {first.gateway->peers_address()};
+  Fixture second(settings);
+  ScriptedTarget& target = second.AddTarget("one", Answering("notes"));
+  second.Publish({SingleRoute(Repeatability::kIdempotent)});
+  std::this_thread::sleep_for(milliseconds(300));
+  CHECK(second.MakeCaller().Get("single.example", "/one/deadly", "b").result_int() == 503);
+  CHECK(target.requests() == 0);
+  CHECK(second.MakeCaller().Get("single.example", "/one/1", "c").result_int() == 200);
+}
+
 TEST_CASE("a reload applies the limit on requests in flight; invalid settings change nothing") {
   Fixture fixture;
   fixture.AddTarget("one", Answering("notes", milliseconds(200)));
--- a/test/membership/swim_test.cc
+++ b/test/membership/swim_test.cc
@@ -339,5 +339,29 @@
   CHECK_FALSE(swim.joined());
 }
 
+// Guards against a host that was cut off, has missed messages meanwhile, and does not know it.
+TEST_CASE("a host notices soon after a cut that it is in touch with the others again") {
+  SwimOptions sparse;
+  sparse.period = milliseconds(5000);
+  sparse.first_period = milliseconds(1000);
+  sparse.suspicion = milliseconds(15000);
+  SwimModel model(25, sparse);
+  model.Run(std::chrono::seconds(30));
+  bool cut = false;
+  model.connected = [&cut](std::size_t from, std::size_t to) {
+    return !cut || (from != 7 && to != 7);
+  };
+  for (int i = 0; i < 10; ++i) {
+    model.Run(std::chrono::seconds(8));
+    const std::uint64_t before = model.At(7, 0).contacts();
+    CHECK(before > 0);
+    cut = true;
+    model.Run(std::chrono::seconds(9 + i));
+    cut = false;
+    model.Run(std::chrono::seconds(2));
+    CHECK(model.At(7, 0).contacts() > before);
+  }
+}
+
 }  // namespace
 }  // namespace peridotfork
--- a/test/tenants/quota_model_test.cc
+++ b/test/tenants/quota_model_test.cc
@@ -146,6 +146,7 @@
     }
     std::size_t unaccounted() const override { return model.hosts_.size() - Members().size(); }
     std::uint64_t version() const override { return view_version; }
+    std::uint64_t contacts() const override { return 1; }
     bool joined() const override { return true; }
     void Send(const Address& to, protocol::Message message) override {
       model.Send(*this, std::stoul(to.value()), std::move(message));
@@ -416,6 +417,7 @@
   }
   std::size_t unaccounted() const override { return 0; }
   std::uint64_t version() const override { return 1; }
+  std::uint64_t contacts() const override { return 1; }
   bool joined() const override { return true; }
   void Send(const Address&, protocol::Message message) override {
     sent.push_back(std::move(message));
