Take a loss back on all hosts when a target answers the request

Two unrelated crashes, seen by two hosts, make all hosts refuse a sound request for 60 s. Cause: an answer clears the losses of a request on the host that gets it alone. The hosts that it had told of a loss go on counting it. Change: target_answer_notice names the losses that an answer has cleared; all hosts clear them, also if the notice of a loss arrives later. Evidence: crash_guard_test "an answer on one host clears a loss on all hosts" and "a loss whose notice arrives after that of an answer is not counted" failed with the notices left out.

--- a/include/peridotfork/gateway/crash_guard.h
+++ b/include/peridotfork/gateway/crash_guard.h
@@ -33,6 +33,8 @@
   std::uint32_t checks_per_second = 10;
   // Number of most recent notices remembered, so that none is forwarded twice.
   std::size_t max_notices = 4096;
+  // Limit on answers that wait to be told to the other hosts.
+  std::size_t max_answer_notices = 256;
   // Number of suspects named to another host at once.
   std::size_t max_reported = 16;
 };
@@ -68,9 +70,16 @@
   // request that is not `repeatable` is lost once only, and is quarantined for that loss.
   void OnTargetDown(std::uint64_t fingerprint, const TargetLoss& loss, bool repeatable);
 
-  // Records that a target answered an attempt of the request.
+  // Records that a target answered an attempt of the request, which clears its losses in the group
+  // here and, with the next notices, on the other hosts.
   void OnAnswered(std::uint64_t fingerprint, GroupIndex group);
 
+  // Returns the notices of answers since the last call, which the other hosts have to be told.
+  std::vector<protocol::TargetAnswerNotice> TakeAnswerNotices();
+
+  // Handles a notice from another host.
+  void OnNotice(const protocol::TargetAnswerNotice& notice);
+
   // Handles a notice from another host; forwards it to the peers if it is new.
   void OnNotice(const protocol::TargetLossNotice& notice);
 
@@ -92,6 +101,8 @@
   bool AddLoss(std::uint64_t fingerprint, const TargetLoss& loss);
   // Remembers the loss; returns false if it was already known. Requires the lock.
   bool Remember(std::uint64_t fingerprint, const protocol::LossRecord& loss);
+  // Clears the losses of the request in the group and returns them. Requires the lock.
+  std::vector<protocol::LossRecord> Clear(std::uint64_t fingerprint, GroupIndex group);
   // Drops the losses of requests that are no longer suspects. Requires the lock.
   void ForgetExpired();
   void LogLoss(const protocol::TargetLossNotice& notice, bool quarantined);
@@ -114,6 +125,7 @@
   // The losses of each suspect, for reports: those that are least in order, so that all hosts keep
   // the same ones.
   std::map<std::uint64_t, std::set<protocol::LossRecord>> losses_;
+  std::vector<protocol::TargetAnswerNotice> answer_notices_;
 };
 
 }  // namespace peridotfork
--- a/include/peridotfork/gateway/gateway.h
+++ b/include/peridotfork/gateway/gateway.h
@@ -106,6 +106,8 @@
   CataloguePtr catalogue() const;
   void OnPeerMessage(const protocol::Envelope& envelope);
   void OnTargetLoss(const protocol::Envelope& envelope, const protocol::TargetLossNotice& notice);
+  void OnTargetAnswer(const protocol::Envelope& envelope,
+                      const protocol::TargetAnswerNotice& notice);
   void OnSuspectQuery(const protocol::Envelope& envelope, const protocol::SuspectQuery& query);
   void OnSuspectReport(const protocol::Envelope& envelope, const protocol::SuspectReport& report);
   void OnQuotaUsage(const protocol::Envelope& envelope, const protocol::QuotaUsage& usage);
--- a/include/peridotfork/gateway/suspect_exchange.h
+++ b/include/peridotfork/gateway/suspect_exchange.h
@@ -41,7 +41,8 @@
                   std::uint64_t random_seed,
                   SuspectExchangeOptions options = {});
 
-  // Sends the question that is due, if any. Called several times a second.
+  // Sends the notices of answers and the question that is due, if any. Called several times a
+  // second.
   void Tick();
 
   // Tells the others of a loss, or passes on the notice of another host.
--- a/include/peridotfork/protocol/message.h
+++ b/include/peridotfork/protocol/message.h
@@ -426,6 +426,19 @@
                                                   MakeField("g", &LossRecord::group));
 };
 
+// Tells the other gateways that a target has answered the request, so that its losses in this group
+// had another cause.
+struct TargetAnswerNotice {
+  std::uint64_t fingerprint = 0;
+  GroupIndex group;
+  std::vector<LossRecord> losses;
+
+  static constexpr const char* kName = "target_answer_notice";
+  static constexpr auto kFields = std::make_tuple(MakeField("f", &TargetAnswerNotice::fingerprint),
+                                                  MakeField("g", &TargetAnswerNotice::group),
+                                                  MakeField("l", &TargetAnswerNotice::losses));
+};
+
 // A request that a gateway suspects of crashing targets.
 struct SuspectRecord {
   std::uint64_t fingerprint = 0;
@@ -571,7 +584,8 @@
                              QuotaUsage,
                              QuotaBalance,
                              SuspectQuery,
-                             SuspectReport>;
+                             SuspectReport,
+                             TargetAnswerNotice>;
 
 // A message with its sender. `to_incarnation` is the only incarnation of the
 // receiver that may handle the message, or zero for any.
--- a/src/gateway/crash_guard.cc
+++ b/src/gateway/crash_guard.cc
@@ -78,13 +78,41 @@
 
 void CrashGuard::OnAnswered(std::uint64_t fingerprint, GroupIndex group) {
   const RankedLock lock(mutex_);
+  std::vector<protocol::LossRecord> cleared = Clear(fingerprint, group);
+  if (!cleared.empty() && answer_notices_.size() < options_.max_answer_notices) {
+    answer_notices_.push_back({fingerprint, group, std::move(cleared)});
+  }
+}
+
+std::vector<protocol::TargetAnswerNotice> CrashGuard::TakeAnswerNotices() {
+  const RankedLock lock(mutex_);
+  return std::exchange(answer_notices_, {});
+}
+
+void CrashGuard::OnNotice(const protocol::TargetAnswerNotice& notice) {
+  const RankedLock lock(mutex_);
+  for (const protocol::LossRecord& loss : notice.losses) {
+    // The notice of the loss may arrive after this one.
+    Remember(notice.fingerprint, loss);
+  }
+  Clear(notice.fingerprint, notice.group);
+}
+
+std::vector<protocol::LossRecord> CrashGuard::Clear(std::uint64_t fingerprint, GroupIndex group) {
   quarantine_.OnAnswered(CallerId(), fingerprint, group);
+  has_suspects_ = quarantine_.size() > 0;
+  std::vector<protocol::LossRecord> cleared;
   const auto known = losses_.find(fingerprint);
   if (known != losses_.end()) {
-    std::erase_if(known->second,
-                  [group](const protocol::LossRecord& loss) { return loss.group == group; });
+    std::erase_if(known->second, [&](const protocol::LossRecord& loss) {
+      if (loss.group != group) {
+        return false;
+      }
+      cleared.push_back(loss);
+      return true;
+    });
   }
-  has_suspects_ = quarantine_.size() > 0;
+  return cleared;
 }
 
 void CrashGuard::OnNotice(const protocol::TargetLossNotice& notice) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -108,6 +108,7 @@
 
 const MessageTable<Gateway> Gateway::kMessages = MessageTable<Gateway>()
                                                      .On<&Gateway::OnTargetLoss>()
+                                                     .On<&Gateway::OnTargetAnswer>()
                                                      .On<&Gateway::OnSuspectQuery>()
                                                      .On<&Gateway::OnSuspectReport>()
                                                      .On<&Gateway::OnQuotaUsage>()
@@ -577,6 +578,11 @@
   guard_.OnNotice(notice);
 }
 
+void Gateway::OnTargetAnswer(const protocol::Envelope&,
+                             const protocol::TargetAnswerNotice& notice) {
+  guard_.OnNotice(notice);
+}
+
 void Gateway::OnSuspectQuery(const protocol::Envelope& envelope,
                              const protocol::SuspectQuery& query) {
   suspects_.OnQuery(envelope.reply_to, query);
--- a/src/gateway/suspect_exchange.cc
+++ b/src/gateway/suspect_exchange.cc
@@ -22,6 +22,11 @@
       questions_left_(options.max_questions) {}
 
 void SuspectExchange::Tick() {
+  for (const protocol::TargetAnswerNotice& notice : guard_.TakeAnswerNotices()) {
+    for (const FleetMember& member : Others()) {
+      sender_.Send(member.address, notice);
+    }
+  }
   const std::uint64_t contacts = fleet_.contacts();
   const BootTime now = clock_.now();
   {
--- a/test/gateway/crash_guard_test.cc
+++ b/test/gateway/crash_guard_test.cc
@@ -54,6 +54,17 @@
     }
   }
 
+  // Tells all other hosts of the answers that a host has got.
+  void TellAnswers(std::size_t from) {
+    for (const protocol::TargetAnswerNotice& notice : guards[from]->TakeAnswerNotices()) {
+      for (std::size_t to = 0; to < guards.size(); ++to) {
+        if (to != from) {
+          guards[to]->OnNotice(notice);
+        }
+      }
+    }
+  }
+
   void DeliverAll() {
     while (!queue.empty()) {
       const auto [to, notice] = queue.front();
@@ -149,6 +160,41 @@
   CHECK(fleet.guards[0]->Remaining(1) == kNotQuarantined);
 }
 
+// Guards against two unrelated crashes, seen by two hosts, that shut out a sound request.
+TEST_CASE("an answer on one host clears a loss on all hosts") {
+  Fleet fleet(5);
+  fleet.LoseTarget(0, 1);
+  fleet.guards[0]->OnAnswered(1, GroupIndex(0));
+  fleet.TellAnswers(0);
+  for (const auto& guard : fleet.guards) {
+    CHECK(guard->Digest() == 0);
+  }
+  fleet.LoseTarget(4, 1);
+  for (const auto& guard : fleet.guards) {
+    CHECK(guard->Remaining(1) == kNotQuarantined);
+  }
+}
+
+TEST_CASE("a loss whose notice arrives after that of an answer is not counted") {
+  Fleet fleet(2);
+  TargetLoss loss;
+  loss.sent = loss.noticed = fleet.clock.now();
+  fleet.guards[0]->OnTargetDown(1, loss, /*repeatable=*/true);
+  fleet.guards[0]->OnAnswered(1, GroupIndex(0));
+  fleet.TellAnswers(0);
+  fleet.DeliverAll();
+  CHECK(fleet.guards[1]->Digest() == 0);
+}
+
+TEST_CASE("an answer of one group does not clear the losses in another") {
+  Fleet fleet(2);
+  fleet.LoseTarget(0, 1);
+  fleet.guards[0]->OnAnswered(1, GroupIndex(1));
+  CHECK(fleet.guards[0]->TakeAnswerNotices().empty());
+  fleet.LoseTarget(1, 1);
+  CHECK(fleet.guards[0]->Remaining(1) > kNotQuarantined);
+}
+
 // Guards against notices that are forwarded endlessly.
 TEST_CASE("a notice is sent over each connection a bounded number of times") {
   Fleet fleet(28);
--- a/test/gateway/suspect_exchange_test.cc
+++ b/test/gateway/suspect_exchange_test.cc
@@ -153,6 +153,21 @@
   CHECK(answers({5, true}) == 1);
 }
 
+TEST_CASE("an answer that clears a loss is told to all hosts, once") {
+  Host host;
+  host.AddOthers(4);
+  host.exchange.OnReport(HostId("h1"), {});
+  host.LoseTarget();
+  host.guard.OnAnswered(1, GroupIndex(0));
+  host.guard.OnAnswered(1, GroupIndex(0));
+  host.exchange.Tick();
+  host.exchange.Tick();
+  CHECK(host.sent.size() == 4);
+  for (const auto& [to, message] : host.sent) {
+    CHECK(std::holds_alternative<protocol::TargetAnswerNotice>(message));
+  }
+}
+
 TEST_CASE("a notice of another host is passed on to a few hosts, an own one to all") {
   Host host;
   host.AddOthers(10);
