List the store when its changes do not fit into a reply

Cause: a reply over the limit counted as a failed call, and the same watch was repeated for ever. Change: the follower lists the store then, as if the history were gone. A listing that is too large itself is retried with the usual delays. Evidence: store_follower_test "changes that are too large for a reply are skipped by a listing" failed before (revision 10 was watched again).

--- a/include/peridotfork/discovery/store_follower.h
+++ b/include/peridotfork/discovery/store_follower.h
@@ -49,7 +49,7 @@
 
 // Keeps a FleetDirectory up to date with the store: lists all entries once and then watches for
 // changes. Lists again if the store no longer has the history after the last revision seen, was
-// restored from a copy, or has more changes to report than a listing has entries. Must not be
+// restored from a copy, or has more changes to report than can be read sooner. Must not be
 // destroyed before its pool has stopped. Thread-safe.
 class StoreFollower {
  public:
--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -230,20 +230,24 @@
 
 void StoreFollower::OnFailure(const Error& error) {
   ++failures_;
-  const bool history_gone = error.kind() == ErrorKind::kStaleRevision;
+  bool skips_changes = false;
   bool list = false;
   std::chrono::nanoseconds call_time{0};
   std::chrono::nanoseconds delay{0};
   {
     const RankedLock lock(mutex_);
     call_time = clock_.now() - call_start_;
-    if (history_gone) {
+    // The store has answered, but the changes can't be read: their history is gone, or they do not
+    // fit into a reply that is accepted. The same watch would fail again.
+    skips_changes = error.kind() == ErrorKind::kStaleRevision ||
+                    (error.kind() == ErrorKind::kTooLarge && revision_);
+    if (skips_changes) {
       directory_.OnReply(call_time);
       revision_.reset();
-    } else if (!failing_since_) {
-      failing_since_ = clock_.now();
+    } else {
+      failing_since_ = failing_since_.value_or(clock_.now());
+      delay = RetryDelay(call_time);
     }
-    delay = RetryDelay(call_time);
     ++consecutive_failures_;
     freshness_.OnFailed();
     list = !revision_;
@@ -254,7 +258,7 @@
   log_.Warning("A call to the store failed.", {{"error", ToString(error)},
                                                {"call_ms", Milliseconds(call_time)},
                                                {"retry_in_ms", Milliseconds(delay)}});
-  if (history_gone) {
+  if (skips_changes) {
     ListPage();
     return;
   }
--- a/test/discovery/store_follower_test.cc
+++ b/test/discovery/store_follower_test.cc
@@ -120,6 +120,29 @@
   CHECK(fixture.sizes == std::vector<std::size_t>{2, 1});
 }
 
+// Guards against a host that asks for ever for changes that exceed what it accepts in one reply.
+TEST_CASE("changes that are too large for a reply are skipped by a listing") {
+  Fixture fixture;
+  fixture.store.Add(Reply(10, {Target("a"), Target("b")}));
+  fixture.store.Add(MakeError(ErrorKind::kTooLarge));
+  fixture.store.Add(Reply(40, {Target("b")}));
+  const auto calls = fixture.Run(4);
+  CHECK(calls == std::vector<std::string>{"list ", "watch 10", "list ", "watch 40"});
+  CHECK(fixture.sizes == std::vector<std::size_t>{2, 1});
+}
+
+// Guards against calls without a pause to a store whose listing can't be read.
+TEST_CASE("a listing that is too large is retried with a delay") {
+  Fixture fixture({.batch_share = 0,
+                   .initial_retry_delay = milliseconds(100),
+                   .max_first_retry_delay = milliseconds(100)});
+  fixture.store.Add(MakeError(ErrorKind::kTooLarge));
+  fixture.store.Add(MakeError(ErrorKind::kTooLarge));
+  const auto begin = std::chrono::steady_clock::now();
+  CHECK(fixture.Run(3) == std::vector<std::string>{"list ", "list ", "list "});
+  CHECK(std::chrono::steady_clock::now() - begin >= milliseconds(200));
+}
+
 StoreReply ReplyOf(std::uint64_t era,
                    std::uint64_t revision,
                    std::vector<StoreChange> changes = {}) {
--- a/test/platform/store_client_test.cc
+++ b/test/platform/store_client_test.cc
@@ -173,6 +173,19 @@
   pool.Stop();
 }
 
+TEST_CASE("a reply that is larger than what is accepted is told from other failures") {
+  WorkerPool pool(1);
+  FixedStore store;
+  http::Server server(pool.context(), {}, store);
+  REQUIRE(server.Listen(Address("127.0.0.1:0")).has_value());
+  StoreClient client(pool.context(), server.address());
+  store.body = Range(Item("other/key", std::string(5'000'000, 'A')));
+  const auto reply = Wait([&](MetadataStore::Callback done) { client.List("", std::move(done)); });
+  REQUIRE_FALSE(reply.has_value());
+  CHECK(reply.error().kind() == ErrorKind::kTooLarge);
+  pool.Stop();
+}
+
 TEST_CASE("HTTP status codes of the store are mapped to error kinds") {
   WorkerPool pool(1);
   FixedStore store;
