Take a reply of many entries for long only near the store's limit

Cause: a reply of 250 entries counted as one that may be incomplete, like one of half of the bytes. A reply that is cut for the number of entries has about 500; only for bytes does the next entry decide how much is missing. Change: 450 entries, or half of the bytes.

--- a/include/peridotfork/discovery/metadata_store.h
+++ b/include/peridotfork/discovery/metadata_store.h
@@ -45,9 +45,9 @@
   std::vector<StoreChange> changes;
   // The store had nothing to report, not even entries that are ignored here.
   bool empty = false;
-  // For a watch: at least half as large as the store's replies can be. The store may have left out
-  // later changes, which it returns to the next watch at once. A reply that is not long can leave
-  // out only a change that is too large for one reply with it.
+  // For a watch: has about as many entries as a reply can have, or half of the bytes. The store may
+  // have left out later changes, which it returns to the next watch at once. A reply that is not
+  // long can leave out only a change that is too large for one reply with it.
   bool is_long = false;
   // Errors of values that could not be decoded; the rest of the reply is valid.
   std::vector<Error> faults;
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -23,9 +23,9 @@
 // A whole number in all replies.
 constexpr std::string_view kEra = "Store-Era";
 
-// A reply ends at about this many items or bytes.
-constexpr std::size_t kPageItems = 500;
-constexpr std::size_t kPageBytes = 1'000'000;
+// A reply ends at about 500 items, or before the item with which it would exceed about 1 MB.
+constexpr std::size_t kLongReplyItems = 450;
+constexpr std::size_t kLongReplyBytes = 500'000;
 // Maximum size of a reply: twice the platform's limit of one megabyte for a value, with room for
 // the base64 encoding and the other items of a page.
 constexpr std::uint64_t kMaxReplyBytes = 4'000'000;
@@ -124,7 +124,7 @@
     return reader.error();
   }
   reply.empty = items.empty();
-  reply.is_long = 2 * items.size() >= kPageItems || 2 * body.size() >= kPageBytes;
+  reply.is_long = items.size() >= kLongReplyItems || body.size() >= kLongReplyBytes;
   for (const json& item : items) {
     AddItem(item, reply);
   }
