Read figures that the platform fills in as decimal numbers

Cause: the platform's pages allow fractions as bounds, and durations, the memory and the slack of quotas were read as whole numbers only. Change: they are decimal numbers; fractions of a millisecond are rounded down. Evidence: settings_test "figures that the platform fills in start a gateway, or are refused with their key".

--- a/include/peridotfork/config/settings.h
+++ b/include/peridotfork/config/settings.h
@@ -75,12 +75,12 @@
     return peers_addresses.empty() ? inner_address : peers_addresses.front();
   }
   // Number of requests by which the quota of a tenant may be exceeded in any window.
-  std::uint32_t quota_slack = 0;
+  RequestCount quota_slack{0};
   std::uint32_t max_in_flight = 0;
   // Maximum number of callers' connections; 0 for what the limit of open files allows.
   std::uint32_t max_connections = 0;
-  // Memory in MiB that this process may use.
-  std::uint32_t memory_mib = 256;
+  // Memory that this process may use.
+  Mebibytes memory_mib{256};
 };
 
 // The keys of a program's settings, in the order of printing.
--- a/include/peridotfork/config/units.h
+++ b/include/peridotfork/config/units.h
@@ -16,7 +16,7 @@
 // Parsers of single values. The detail of each error states the expected form;
 // its location is filled in by the calling code. All are thread-safe.
 
-// A whole number with the unit us, ms, s or min, such as "250us".
+// A number with the unit us, ms, s or min, such as "250us" or "6.5s", rounded to microseconds.
 Result<std::chrono::microseconds> ParseDuration(std::string_view text);
 
 // A positive number of requests per second, such as "200/s" or "0.5/s".
@@ -27,6 +27,9 @@
                                  std::uint64_t min = 0,
                                  std::uint64_t max = std::numeric_limits<std::uint64_t>::max());
 
+// A decimal number from `min` to `max`, inclusive, such as "260" or "260.5".
+Result<double> ParseNumber(std::string_view text, double min, double max);
+
 // "yes" or "no".
 Result<bool> ParseBool(std::string_view text);
 
@@ -43,6 +46,7 @@
 
 // Inverses of the parsers. Durations use the largest unit that is exact.
 std::string PrintDuration(std::chrono::microseconds duration);
+std::string PrintNumber(double value);
 std::string PrintRate(Rate rate);
 std::string PrintPercent(double share);
 
--- a/include/peridotfork/core/units.h
+++ b/include/peridotfork/core/units.h
@@ -18,6 +18,12 @@
 
 using Bytes = StrongValue<struct BytesTag, std::uint64_t>;
 
+// Multiples of 1,048,576 bytes.
+using Mebibytes = StrongValue<struct MebibytesTag, double>;
+
+// A computed number of requests, such as a part of a sum.
+using RequestCount = StrongValue<struct RequestCountTag, double>;
+
 }  // namespace peridotfork
 
 #endif  // PERIDOTFORK_CORE_UNITS_H_
--- a/include/peridotfork/internal/config/value.h
+++ b/include/peridotfork/internal/config/value.h
@@ -68,6 +68,20 @@
   return boost::outcome_v2::success();
 }
 
+// Strong values of fractions are decimal numbers.
+template <typename Tag>
+Result<void> ReadValue(std::string_view text,
+                       const Limits& limits,
+                       StrongValue<Tag, double>& value) {
+  const auto number =
+      ParseNumber(text, static_cast<double>(limits.min), static_cast<double>(limits.max));
+  if (!number) {
+    return number.error();
+  }
+  value = StrongValue<Tag, double>(number.value());
+  return boost::outcome_v2::success();
+}
+
 template <typename T>
 Result<void> ReadValue(std::string_view text, const Limits& limits, std::optional<T>& value) {
   return ReadValue(text, limits, value.emplace());
@@ -101,6 +115,11 @@
   return std::to_string(value.value());
 }
 
+template <typename Tag>
+std::string PrintValue(const StrongValue<Tag, double>& value) {
+  return PrintNumber(value.value());
+}
+
 template <typename T>
 std::string PrintValue(const std::optional<T>& value) {
   return value ? PrintValue(*value) : std::string();
--- a/src/config/units.cc
+++ b/src/config/units.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <sstream>
 
 namespace peridotfork {
@@ -25,7 +26,7 @@
 };
 
 constexpr std::string_view kDurationExpected =
-    "expected a whole number with the unit us, ms, s or min, such as 250ms";
+    "expected a number with the unit us, ms, s or min, such as 250ms or 1.5s";
 constexpr std::string_view kRateExpected = "expected a number above 0 per second, such as 200/s";
 constexpr std::string_view kPercentExpected = "expected 0% to 100%, such as 99.9%";
 constexpr std::string_view kAddressExpected =
@@ -54,6 +55,11 @@
   return text.find_first_not_of("0123456789.") == std::string_view::npos && ReadNumber(text, value);
 }
 
+// The same with a digit on both sides of the point.
+bool ReadFullDecimal(std::string_view text, double* value) {
+  return !text.empty() && text.front() != '.' && text.back() != '.' && ReadDecimal(text, value);
+}
+
 bool EndsWith(std::string_view text, std::string_view suffix) {
   return text.size() > suffix.size() && text.substr(text.size() - suffix.size()) == suffix;
 }
@@ -77,14 +83,17 @@
     if (!EndsWith(text, unit.suffix)) {
       continue;
     }
-    std::int64_t count = 0;
-    if (!ReadNumber(text.substr(0, text.size() - unit.suffix.size()), &count)) {
+    double count = 0;
+    if (!ReadFullDecimal(text.substr(0, text.size() - unit.suffix.size()), &count)) {
       return InvalidValue(ErrorKind::kMalformed, kDurationExpected);
     }
-    if (count > kMaxMicroseconds / unit.microseconds) {
+    const double microseconds = count * static_cast<double>(unit.microseconds);
+    if (microseconds > static_cast<double>(kMaxMicroseconds)) {
       return MakeError(ErrorKind::kOutOfRange, {}, "expected at most 525600min");
     }
-    return std::chrono::microseconds(count * unit.microseconds);
+    // Exact for whole numbers, since all durations up to the maximum are less than 2^53
+    // microseconds.
+    return std::chrono::microseconds(std::llround(microseconds));
   }
   return InvalidValue(ErrorKind::kMalformed, kDurationExpected);
 }
@@ -113,6 +122,19 @@
   return value;
 }
 
+Result<double> ParseNumber(std::string_view text, double min, double max) {
+  std::ostringstream expected;
+  expected << "expected a number from " << PrintDecimal(min) << " to " << PrintDecimal(max);
+  double value = 0;
+  if (!ReadFullDecimal(text, &value)) {
+    return InvalidValue(ErrorKind::kMalformed, expected.str());
+  }
+  if (value < min || value > max) {
+    return InvalidValue(ErrorKind::kOutOfRange, expected.str());
+  }
+  return value;
+}
+
 Result<bool> ParseBool(std::string_view text) {
   if (text == "yes" || text == "no") {
     return text == "yes";
@@ -170,6 +192,10 @@
   return std::to_string(count) + "us";
 }
 
+std::string PrintNumber(double value) {
+  return PrintDecimal(value);
+}
+
 std::string PrintRate(Rate rate) {
   return PrintDecimal(rate.value()) + "/s";
 }
--- a/src/config/value.cc
+++ b/src/config/value.cc
@@ -64,7 +64,10 @@
   }
   const auto whole = std::chrono::duration_cast<std::chrono::milliseconds>(parsed.value());
   const auto count = static_cast<std::uint64_t>(whole.count());
-  if (whole != parsed.value() || count < limits.min || count > limits.max) {
+  // The platform computes some bounds and fills them in with a fraction. Microseconds are not
+  // dropped from a value that is written in them.
+  const bool may_round = text.find('.') != std::string_view::npos;
+  if ((whole != parsed.value() && !may_round) || count < limits.min || count > limits.max) {
     return MakeError(ErrorKind::kOutOfRange, {}, ExpectedDurations(limits));
   }
   value = whole;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -76,15 +76,19 @@
 // Part of the memory of the process that is for the answers of targets.
 constexpr std::uint64_t kAnswerMemoryDivisor = 16;
 
+Bytes BytesOf(Mebibytes size) {
+  return Bytes(static_cast<std::uint64_t>(size.value() * (1 << 20)));
+}
+
 Bytes AnswerMemoryOf(const GatewaySettings& settings) {
-  return Bytes((std::uint64_t{settings.memory_mib} << 20) / kAnswerMemoryDivisor);
+  return Bytes(BytesOf(settings.memory_mib).value() / kAnswerMemoryDivisor);
 }
 
 // Part of the memory of the process for what callers make it hold.
 constexpr std::uint64_t kCallerMemoryDivisor = 4;
 
 Bytes CallerMemoryOf(const GatewaySettings& settings) {
-  return Bytes((std::uint64_t{settings.memory_mib} << 20) / kCallerMemoryDivisor);
+  return Bytes(BytesOf(settings.memory_mib).value() / kCallerMemoryDivisor);
 }
 
 // Number of callers' connections: what the limit of the process leaves beside targets, the store
@@ -135,7 +139,7 @@
               {settings.id, Role::kGateway, context.incarnation},
               fleet_,
               fleet_,
-              settings.quota_slack),
+              static_cast<std::uint32_t>(settings.quota_slack.value())),
       guard_(context.clock,
              context.log,
              {settings.id, Role::kGateway, context.incarnation},
--- a/test/config/settings_test.cc
+++ b/test/config/settings_test.cc
@@ -2,7 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <array>
 #include <string>
+#include <string_view>
 
 namespace peridotfork {
 namespace {
@@ -54,6 +57,56 @@
   CHECK(plain.value().seeds.empty());
 }
 
+// Guards against gateways that do not start because the platform has computed a figure with a
+// fraction (review/10).
+TEST_CASE("figures that the platform fills in start a gateway, or are refused with their key") {
+  constexpr std::array<std::string_view, 3> kUsable = {"100", "100.5", "6500.123456"};
+  struct Figure {
+    const char* section;
+    const char* key;
+    const char* unit;
+  };
+  const std::string rest = kHost +
+                           "[ingress]\naddress = 127.0.0.1:1\n[metrics]\naddress = 127.0.0.1:2\n" +
+                           "[store]\naddress = 127.0.0.1:3\n";
+  for (const Figure& figure :
+       {Figure{"drain", "timeout", "s"}, Figure{"host", "memory_mib", ""},
+        Figure{"quotas", "slack", ""}, Figure{"store", "revoke_after", "ms"}}) {
+    for (const std::string_view number :
+         {"100", "100.5", "6500.123456", "0", "1e3", "-1", "", "1e400", "99999999999999999999",
+          "100.5.5", "nan", "true"}) {
+      CAPTURE(figure.key);
+      CAPTURE(number);
+      const std::string value = std::string(number) + figure.unit;
+      std::string text = rest;
+      const std::string section = std::string("[") + figure.section + "]\n";
+      const std::string entry = std::string(figure.key) + " = " + value + "\n";
+      const std::size_t at = text.find(section);
+      if (at == std::string::npos) {
+        text += section + entry;
+      } else {
+        text.insert(at + section.size(), entry);
+      }
+      const auto parsed = ParseSettings<GatewaySettings>(text);
+      if (std::ranges::count(kUsable, number) > 0) {
+        CHECK(parsed);
+      }
+      if (!parsed) {
+        REQUIRE(parsed.error().size() == 1);
+        CHECK(ToString(parsed.error().front().ToError()).find(figure.key) != std::string::npos);
+      }
+    }
+  }
+  const auto fractions = ParseSettings<GatewaySettings>(
+      rest + "revoke_after = 2500.75ms\n[drain]\ntimeout = 6.5s\n[quotas]\nslack = 20.5\n");
+  REQUIRE(fractions);
+  CHECK(fractions.value().drain_timeout == std::chrono::milliseconds(6500));
+  CHECK(fractions.value().store_revoke_after == std::chrono::milliseconds(2500));
+  CHECK(fractions.value().quota_slack == RequestCount(20.5));
+  CHECK(ToIni(ParseSettings<GatewaySettings>(ToIni(fractions.value())).value()) ==
+        ToIni(fractions.value()));
+}
+
 // Guards against operators having to start a program once per fault.
 TEST_CASE("every fault is listed with line, section, key, value and expected form") {
   const auto agent = ParseSettings<AgentSettings>(
