Hold the body of a request once for all its attempts

Cause: each attempt copied the request with its body, connections kept their copy while idle, and the account counted three copies. Change: http::SharedBody, a counted body that attempts and connections share. It is in the account until the last one has ended; a connection drops it with the end of its write. A body that is being read counts twice instead of three times, since no copies follow any more; caller_session_test checks that count as exactly as before.

--- a/include/peridotfork/gateway/crash_guard.h
+++ b/include/peridotfork/gateway/crash_guard.h
@@ -54,6 +54,9 @@
 
   // Returns the same value for every repetition of a request by the same tenant, on any host.
   static std::uint64_t Fingerprint(const http::RawRequest& request, const CallerIdentity& identity);
+  static std::uint64_t Fingerprint(const http::RequestHead& head,
+                                   const std::string& body,
+                                   const CallerIdentity& identity);
 
   // If false, no request is suspected or quarantined, and Remaining() and OnAnswered() may be
   // skipped. May stay true after the last suspect has expired.
--- a/include/peridotfork/gateway/message_codec.h
+++ b/include/peridotfork/gateway/message_codec.h
@@ -68,7 +68,7 @@
                                          const CallerIdentity& identity) const = 0;
 
   // Adds the fields of one attempt: its target and its time limit.
-  virtual void AddAttemptFields(http::RawRequest& request,
+  virtual void AddAttemptFields(http::RequestHead& request,
                                 const TargetId& target,
                                 std::chrono::milliseconds time_left) const = 0;
 
--- a/include/peridotfork/gateway/request_runner.h
+++ b/include/peridotfork/gateway/request_runner.h
@@ -16,6 +16,7 @@
 #include "peridotfork/catalogue/catalogue.h"
 #include "peridotfork/core/clock.h"
 #include "peridotfork/fanout/fan_out.h"
+#include "peridotfork/gateway/caller_memory.h"
 #include "peridotfork/gateway/caller_session.h"
 #include "peridotfork/gateway/crash_guard.h"
 #include "peridotfork/gateway/message_codec.h"
@@ -34,6 +35,8 @@
   ConnectionPool& connections;
   CrashGuard& guard;
   RequestLog& log;
+  // Account of the bodies of requests.
+  const boost::intrusive_ptr<CallerMemory>& caller_memory;
 };
 
 // A request that matched a route, with the configuration that applies to it.
@@ -107,8 +110,9 @@
   void LogOutcome(std::string_view outcome, unsigned status);
 
   GatewayContext& context_;
-  const RoutedRequest request_;
-  const http::RawRequest forwarded_;
+  RoutedRequest request_;
+  // As sent to targets, but for the fields of each attempt. All attempts share its body.
+  const http::SharedRequest forwarded_;
   Callback done_;
   const std::function<void(bool reached_target)> on_end_;
   RankedMutex mutex_{LockRank::kRequests};
--- a/include/peridotfork/http/raw_message.h
+++ b/include/peridotfork/http/raw_message.h
@@ -10,6 +10,9 @@
 using RawRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using RawResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
+// The start line and the header fields of a request.
+using RequestHead = RawRequest::header_type;
+
 }  // namespace peridotfork::http
 
 #endif  // PERIDOTFORK_HTTP_RAW_MESSAGE_H_
--- a/include/peridotfork/platform/message_codec.h
+++ b/include/peridotfork/platform/message_codec.h
@@ -13,7 +13,7 @@
   std::vector<std::string_view> Credentials(const http::RawRequest& request) const override;
   http::RawRequest MakeForwarded(const http::RawRequest& request,
                                  const CallerIdentity& identity) const override;
-  void AddAttemptFields(http::RawRequest& request,
+  void AddAttemptFields(http::RequestHead& request,
                         const TargetId& target,
                         std::chrono::milliseconds time_left) const override;
   bool Matches(const http::RawResponse& response, const RequestId& id) const override;
--- a/include/peridotfork/upstream/connection.h
+++ b/include/peridotfork/upstream/connection.h
@@ -20,6 +20,7 @@
 #include "peridotfork/core/clock.h"
 #include "peridotfork/core/units.h"
 #include "peridotfork/http/raw_message.h"
+#include "peridotfork/http/shared_body.h"
 #include "peridotfork/upstream/answer_memory.h"
 
 namespace peridotfork {
@@ -46,7 +47,7 @@
 
 // One request, with the functions that match and receive its answer.
 struct Exchange {
-  http::RawRequest request;
+  http::SharedRequest request;
   // Whether an answer belongs to this request. A target may send a second answer to an
   // earlier request on the same connection.
   std::function<bool(const http::RawResponse&)> matches;
@@ -116,8 +117,9 @@
 
   // Used on the strand only.
   std::optional<Exchange> exchange_;
-  // Kept beyond the end of the exchange, since its write may still be in progress.
-  http::RawRequest request_;
+  // Kept beyond the end of the exchange, since its write may still be in progress; without the body
+  // after the write.
+  http::SharedRequest request_;
   std::uint64_t exchange_number_ = 0;
   bool connected_ = false;
   bool reusable_ = true;
--- a/src/gateway/caller_session.cc
+++ b/src/gateway/caller_session.cc
@@ -34,8 +34,8 @@
 // Size of the kernel's send buffer of a connection. Without a limit the kernel takes several
 // megabytes of an answer that its caller does not read.
 constexpr int kSendBuffer = 128 * 1024;
-// A body is held as it was read, as it is forwarded, and as it is being sent.
-constexpr std::size_t kBodyCopies = 3;
+// A body whose length is not known occupies up to twice its size while it is read.
+constexpr std::size_t kBodyGrowth = 2;
 // Time limit for reading the body of a request, as a multiple of the limit for its header.
 constexpr int kBodyTimeFactor = 3;
 // Input that follows a refused request is discarded for so long and up to so much before the
@@ -238,7 +238,7 @@
 void CallerSession::ReadBody() {
   const std::uint64_t length =
       std::min(parser_->content_length().value_or(0), limits_.max_body.value());
-  const std::size_t size = kBodyCopies * static_cast<std::size_t>(length);
+  const std::size_t size = kBodyGrowth * static_cast<std::size_t>(length);
   if (!body_memory_.TrySet(size)) {
     RefuseUnread(sink_.RefuseForMemory(parser_->get()));
     return;
@@ -276,7 +276,7 @@
     OnReadError(error);
   } else if (parser_->is_done()) {
     EndProgress();
-    body_memory_.Set(kBodyCopies * parser_->get().body().size());
+    body_memory_.Set(kBodyGrowth * parser_->get().body().size());
     DispatchRequest();
   } else if (chunked_header_ && !GrowBodyMemory()) {
     EndProgress();
@@ -288,7 +288,7 @@
 
 bool CallerSession::GrowBodyMemory() {
   // The length of a chunked body is not known before its end.
-  const std::size_t size = kBodyCopies * (parser_->get().body().size() + kReadSize);
+  const std::size_t size = kBodyGrowth * (parser_->get().body().size() + kReadSize);
   held_ = size;
   return body_memory_.TrySet(size);
 }
@@ -315,6 +315,8 @@
   }
   keep_alive_ = request.keep_alive();
   stream_.expires_never();
+  // The request counts its body itself from here on.
+  body_memory_.Set(0);
   RequestRunnerPtr runner = sink_.Handle(
       std::move(request), request_start_, [self = Self()](CallerResponse response) mutable {
         asio::post(self->stream_.get_executor(), [self, response = std::move(response)]() mutable {
--- a/src/gateway/crash_guard.cc
+++ b/src/gateway/crash_guard.cc
@@ -33,9 +33,15 @@
 
 std::uint64_t CrashGuard::Fingerprint(const http::RawRequest& request,
                                       const CallerIdentity& identity) {
-  std::string text(View(request.method_string()));
-  text.append(1, ' ').append(View(request.target())).append(1, '\n').append(request.body());
-  const ServiceId host(std::string(View(request[boost::beast::http::field::host])));
+  return Fingerprint(request.base(), request.body(), identity);
+}
+
+std::uint64_t CrashGuard::Fingerprint(const http::RequestHead& head,
+                                      const std::string& body,
+                                      const CallerIdentity& identity) {
+  std::string text(View(head.method_string()));
+  text.append(1, ' ').append(View(head.target())).append(1, '\n').append(body);
+  const ServiceId host(std::string(View(head[boost::beast::http::field::host])));
   const CallerId caller(identity.tenant == nullptr ? std::string() : identity.tenant->id.value());
   return Quarantine::Fingerprint(caller, host, text);
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -151,7 +151,7 @@
                 settings.seeds,
                 std::hash<std::string>{}(settings.id.value()) ^ context.incarnation.value()),
       runner_context_{context.pool.context(), context.clock, *adapters_.codec, targets_,
-                      connections_,           guard_,        request_log_},
+                      connections_,           guard_,        request_log_,     caller_memory_},
       follower_(
           context.pool,
           context.clock,
--- a/src/gateway/request_runner.cc
+++ b/src/gateway/request_runner.cc
@@ -73,6 +73,32 @@
   return plan;
 }
 
+// The body of a caller's request, in the account until the last attempt that uses it has ended.
+class CallerBody final : public http::SharedBytes {
+ public:
+  CallerBody(std::string bytes, boost::intrusive_ptr<CallerMemory> account)
+      : SharedBytes(std::move(bytes)), share_(std::move(account)) {
+    share_.Set(this->bytes().capacity());
+  }
+
+ private:
+  CallerMemory::Share share_;
+};
+
+// Moves the body out of the request.
+http::SharedRequest MakeForwarded(const GatewayContext& context, RoutedRequest& request) {
+  std::string body = std::exchange(request.message.body(), {});
+  const http::RawRequest head = context.codec.MakeForwarded(request.message, request.identity);
+  http::SharedRequest forwarded(head.base());
+  if (!body.empty() || head.has_content_length()) {
+    forwarded.content_length(body.size());
+  }
+  if (!body.empty()) {
+    forwarded.body() = new CallerBody(std::move(body), context.caller_memory);
+  }
+  return forwarded;
+}
+
 AttemptOutcome ToAttemptOutcome(ExchangeState state) {
   switch (state) {
     case ExchangeState::kNotConnected:
@@ -96,7 +122,7 @@
                              std::function<void(bool reached_target)> on_end)
     : context_(context),
       request_(std::move(request)),
-      forwarded_(context.codec.MakeForwarded(request_.message, request_.identity)),
+      forwarded_(MakeForwarded(context, request_)),
       done_(std::move(done)),
       on_end_(std::move(on_end)),
       timer_(context.io),
@@ -246,7 +272,10 @@
 
 std::uint64_t RequestRunner::Fingerprint() {
   if (!fingerprint_) {
-    fingerprint_ = CrashGuard::Fingerprint(request_.message, request_.identity);
+    static const std::string kNoBody;
+    const http::SharedBytesPtr& body = forwarded_.body();
+    fingerprint_ = CrashGuard::Fingerprint(request_.message.base(), body ? body->bytes() : kNoBody,
+                                           request_.identity);
   }
   return *fingerprint_;
 }
--- a/src/platform/message_codec.cc
+++ b/src/platform/message_codec.cc
@@ -212,7 +212,7 @@
   return forwarded;
 }
 
-void PlatformCodec::AddAttemptFields(http::RawRequest& request,
+void PlatformCodec::AddAttemptFields(http::RequestHead& request,
                                      const TargetId& target,
                                      milliseconds time_left) const {
   request.set(kTimeout, std::to_string(time_left.count()));
--- a/src/upstream/connection.cc
+++ b/src/upstream/connection.cc
@@ -163,6 +163,7 @@
 void Connection::Write() {
   bhttp::async_write(socket_, request_,
                      [self = ConnectionPtr(this)](const beast::error_code& error, std::size_t) {
+                       self->request_.body().reset();
                        if (!self->exchange_) {
                          return;
                        }
