Follow the linter in the shared body and its test

Cause: clang-tidy refused the name that Beast requires for a body's writer, and a vector without reserved capacity. Change: the name is excepted with its reason; the capacity is reserved. Result: clang-tidy is clean on both files.

--- a/include/peridotfork/http/shared_body.h
+++ b/include/peridotfork/http/shared_body.h
@@ -36,7 +36,7 @@
 
   static std::uint64_t size(const value_type& body) { return body ? body->bytes().size() : 0; }
 
-  class writer {
+  class writer {  // NOLINT(readability-identifier-naming): the name that Beast requires.
    public:
     using const_buffers_type = boost::asio::const_buffer;
 
--- a/test/upstream/connection_test.cc
+++ b/test/upstream/connection_test.cc
@@ -324,6 +324,7 @@
   });
   const http::SharedBytesPtr body(new http::SharedBytes(std::string(1000, 'b')));
   std::vector<Fixture::Started> started;
+  started.reserve(5);
   for (int i = 0; i < 5; ++i) {
     started.push_back(fixture.Start("r" + std::to_string(i), body));
   }
