Bound the times in another host's report of suspects

What callers saw: nothing; found by reading the change again. Cause: the times of a report were converted to nanoseconds as they came, and values near the largest number overflow, so that a quarantine is not taken over. Evidence: crash_guard_test "a report with extreme times quarantines for no longer than a host does itself" failed before.

--- a/include/peridotfork/gateway/request_runner.h
+++ b/include/peridotfork/gateway/request_runner.h
@@ -110,6 +110,7 @@
   void LogOutcome(std::string_view outcome, unsigned status);
 
   GatewayContext& context_;
+  // Its message has no body, which forwarded_ holds.
   RoutedRequest request_;
   // As sent to targets, but for the fields of each attempt. All attempts share its body.
   const http::SharedRequest forwarded_;
--- a/src/gateway/crash_guard.cc
+++ b/src/gateway/crash_guard.cc
@@ -12,11 +12,18 @@
 constexpr std::chrono::seconds kCheckWindow{1};
 // Losses in one report, so that it fits into a datagram.
 constexpr std::size_t kMaxReportedLosses = 8;
+// Longer times of another host would overflow. No quarantine lasts nearly as long.
+constexpr std::chrono::hours kMaxReportedTime{24};
 
 std::string_view View(boost::beast::string_view text) {
   return {text.data(), text.size()};
 }
 
+std::chrono::nanoseconds Bounded(std::chrono::milliseconds time) {
+  return std::clamp<std::chrono::milliseconds>(time, std::chrono::milliseconds(0),
+                                               kMaxReportedTime);
+}
+
 }  // namespace
 
 CrashGuard::CrashGuard(const Clock& clock,
@@ -226,7 +233,7 @@
         continue;
       }
       quarantined = quarantine_.Adopt(CallerId(), record.fingerprint, groups,
-                                      record.quarantined_for, record.kept_for);
+                                      Bounded(record.quarantined_for), Bounded(record.kept_for));
       has_suspects_ = quarantine_.size() > 0;
     }
     if (quarantined) {
--- a/test/gateway/crash_guard_test.cc
+++ b/test/gateway/crash_guard_test.cc
@@ -343,6 +343,20 @@
   }
 }
 
+// Guards against times in a report that overflow.
+TEST_CASE("a report with extreme times quarantines for no longer than a host does itself") {
+  constexpr auto kMost = milliseconds::max();
+  for (const milliseconds kept_for : {kMost, milliseconds(1000), milliseconds::min()}) {
+    Fleet fleet(1);
+    protocol::SuspectRecord record{1, kMost, kept_for, {}};
+    const ProcessId origin{HostId("h9"), Role::kGateway, Incarnation(1)};
+    record.losses = {{origin, 1, GroupIndex(0)}, {origin, 2, GroupIndex(0)}};
+    fleet.guards[0]->OnReport(HostId("h9"), {{record}});
+    CHECK(fleet.guards[0]->Remaining(1) > kNotQuarantined);
+    CHECK(fleet.guards[0]->Remaining(1) <= CrashGuardOptions().quarantine.duration);
+  }
+}
+
 TEST_CASE("what an answer has cleared is not learned again from another host") {
   Fleet fleet(2);
   fleet.LoseTarget(0, 1);
