--- a/test/gateway/suspect_exchange_test.cc
+++ b/test/gateway/suspect_exchange_test.cc
@@ -153,7 +153,7 @@
   CHECK(answers({5, true}) == 1);
 }
 
-TEST_CASE("an answer that clears a loss is told to all hosts, once") {
+TEST_CASE("an answer that clears a loss is announced to all hosts once") {
   Host host;
   host.AddOthers(4);
   host.exchange.OnReport(HostId("h1"), {});
--- a/test/platform/store_client_test.cc
+++ b/test/platform/store_client_test.cc
@@ -173,7 +173,7 @@
   pool.Stop();
 }
 
-TEST_CASE("a reply that is larger than what is accepted is told from other failures") {
+TEST_CASE("a reply that is too large is reported as such") {
   WorkerPool pool(1);
   FixedStore store;
   http::Server server(pool.context(), {}, store);
