Report the number of suspected requests

Cause: operators could see the exchange of suspects in the log alone. Result: gateway_test reads it on a gateway that has learned a quarantine from another one.

--- a/include/peridotfork/gateway/crash_guard.h
+++ b/include/peridotfork/gateway/crash_guard.h
@@ -62,6 +62,9 @@
   // skipped. May stay true after the last suspect has expired.
   bool has_suspects() const { return has_suspects_; }
 
+  // Number of requests that are suspected or quarantined.
+  std::size_t suspects() const;
+
   // Time until the quarantine of the request ends; zero if it is not quarantined.
   std::chrono::nanoseconds Remaining(std::uint64_t fingerprint) const;
 
--- a/src/gateway/crash_guard.cc
+++ b/src/gateway/crash_guard.cc
@@ -53,6 +53,11 @@
   return Quarantine::Fingerprint(caller, host, text);
 }
 
+std::size_t CrashGuard::suspects() const {
+  const RankedLock lock(mutex_);
+  return quarantine_.size();
+}
+
 std::chrono::nanoseconds CrashGuard::Remaining(std::uint64_t fingerprint) const {
   const RankedLock lock(mutex_);
   return quarantine_.Remaining(CallerId(), fingerprint);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -185,6 +185,8 @@
                     [this] { return static_cast<double>(quotas_.refused()); });
   metrics_.AddGauge("peridotfork_known_gateways", "Gateways that this one believes alive.",
                     [this] { return static_cast<double>(fleet_.Members().size()); });
+  metrics_.AddGauge("peridotfork_suspected_requests", "Requests suspected of crashing targets.",
+                    [this] { return static_cast<double>(guard_.suspects()); });
   metrics_.AddGauge("peridotfork_requests_in_flight", "Requests without an answer.",
                     [this] { return static_cast<double>(in_flight_); });
   metrics_.AddGauge("peridotfork_store_calls", "Calls to the store since the start.",
--- a/test/gateway/gateway_test.cc
+++ b/test/gateway/gateway_test.cc
@@ -470,6 +470,8 @@
   std::this_thread::sleep_for(milliseconds(300));
   CHECK(second.MakeCaller().Get("single.example", "/one/deadly", "b").result_int() == 503);
   CHECK(target.requests() == 0);
+  const Response metrics = Caller(second.gateway->metrics_address()).Get("x", "/metrics", "");
+  CHECK(metrics.body().find("peridotfork_suspected_requests 1") != std::string::npos);
   CHECK(second.MakeCaller().Get("single.example", "/one/1", "c").result_int() == 200);
 }
 
